--- /dev/null
+++ b/src/decision/decision.cpp
@@ -0,0 +1,645 @@
+// The decisions of one server. Callers open an instance with openDecision() and hand decide() whatever happened, batch by
+// batch; it returns what is to be done. The interface is decision.h. A req's ordinary path is Server::path(), top to
+// bottom: read, held, started under the climber's limit, calling, ended. docs/design.md tells what comes from the paper.
+#include "decision/decision.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+namespace rainhook {
+namespace {
+
+using namespace std::chrono_literals;
+
+double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
+Span spanOf(double secs) { return Span(static_cast<Span::rep>(std::clamp(secs, 0.0, 1e6) * 1e9)); }
+template <typename Id>
+std::size_t index(Id id) { return static_cast<std::size_t>(id); }
+
+// PCG-XSH-RR.
+class Chance {
+ public:
+  explicit Chance(Seed seed) : state_(static_cast<std::uint64_t>(seed) * 2 + 1) { draw(); }
+  double draw() {
+    const std::uint64_t old = state_;
+    state_ = old * 6364136223846793005u + 1442695040888963407u;
+    const auto mixed = static_cast<std::uint32_t>(((old >> 18u) ^ old) >> 27u);
+    const auto turn = static_cast<std::uint32_t>(old >> 59u);
+    return ((mixed >> turn) | (mixed << ((32u - turn) & 31u))) * 0x1p-32;
+  }
+
+ private:
+  std::uint64_t state_;
+};
+
+// The four rules with their accumulator: the limit on reqs on the cores.
+class Climber {
+ public:
+  Climber(int cores) : floor_(cores), limit_(cores) {}
+
+  double limit() const { return limit_; }
+  void answered(double scaledLatency) { sum_ += scaledLatency, ++answers_; }
+  void heldBack() { binding_ = true; }
+  // Cores idle with work held: the limit is what stands in the way, whatever the latency says.
+  void climbQuickly(double ceiling) { limit_ = std::min(ceiling, limit_ + 1); }
+  void cap(double ceiling) { limit_ = std::clamp(limit_, floor_, std::max(floor_, ceiling)); }
+
+  void step(Span now, double ceiling) {
+    if (now < next_) return;
+    next_ = now + interval;
+    // An interval with few answers, or in which the limit held nothing back, tells nothing about the limit.
+    if (answers_ >= floor_ && binding_) {
+      const double mean = sum_ / answers_;
+      if (mean_ == 0) {
+        asked_ = 1;  // the first step, up one core
+      } else {
+        const double out = fuzzyStep(asked_ * stepGain, (mean - mean_) * latencyGain) / stepGain;
+        // A step of 0 would be the last one; the least step leans to fewer reqs where the rules have no opinion.
+        asked_ = std::abs(out) >= leastStep ? out : out > 0 ? leastStep : -leastStep;
+      }
+      mean_ = mean;
+      limit_ += asked_;
+      cap(ceiling);
+    }
+    sum_ = 0, answers_ = 0, binding_ = false;
+  }
+
+ private:
+  static constexpr Span interval = 1s;
+  static constexpr double stepGain = 1.0 / 2;     // a step of two reqs counts fully
+  static constexpr double latencyGain = 1.0 / 2;  // so does a change by twice the least latency
+  static constexpr double leastStep = 0.25;
+  const double floor_;
+  double limit_, asked_ = 0, mean_ = 0, sum_ = 0;
+  int answers_ = 0;
+  bool binding_ = false;
+  Span next_ = interval;
+};
+
+// A rate from time spent and things ended, both fading: it sees a stall while nothing has ended yet.
+class Meter {
+ public:
+  void fade(double secs, double halfLife, double running) {
+    const double keep = std::exp2(-secs / halfLife);
+    spent_ = spent_ * keep + running * secs;
+    ended_ *= keep;
+  }
+  void end(double amount) { ended_ += amount; }
+  // Time spent for each unit ended, leaning on `usual` with the weight of `prior` units.
+  double each(double usual, double prior) const { return (spent_ + usual * prior) / (ended_ + prior); }
+
+ private:
+  double spent_ = 0, ended_ = 0;
+};
+
+// What runs and calls take here now. One row a handler; nothing grows with reqs.
+class Pace {
+ public:
+  explicit Pace(const std::vector<HandlerTerms>& handlers) {
+    for (const auto& terms : handlers) rows_.push_back({seconds(terms.responseTarget) * firstGuess});
+  }
+  void pass(double secs, int onCore, int calling) {
+    cores_.fade(secs, halfLife, onCore);
+    calls_.fade(secs, halfLife, calling);
+    for (auto& row : rows_) row.least *= 1 + secs * leastAges;
+  }
+  void ran(HandlerId id, Span onCore, Span below, int calls) {
+    Row& row = rows_[index(id)];
+    const double secs = seconds(onCore);
+    cores_.end(row.core);
+    row.seen = std::min(row.seen + 1, 100.0);
+    row.core += (secs - row.core) / (row.seen + 1);
+    row.below += (seconds(below) - row.below) / std::min(row.seen, 20.0);
+    row.calls += (calls - row.calls) / std::min(row.seen, 20.0);
+  }
+  void called() { calls_.end(1); }
+  double slowness() const { return cores_.each(1, 0.5); }
+  double core(HandlerId id) const { return rows_[index(id)].core * slowness(); }
+  double call() const { return calls_.each(callGuess(), 1); }
+  double below(HandlerId id) const {
+    const Row& row = rows_[index(id)];
+    return std::max(row.below, row.calls * call());
+  }
+  // Latency over the handler's least; the least ages upward so that it can be forgotten.
+  double scaled(HandlerId id, double latency) {
+    Row& row = rows_[index(id)];
+    if (row.least == 0 || latency < row.least) row.least = std::max(latency, 0.001);
+    return latency / row.least;
+  }
+
+ private:
+  struct Row {
+    double core = 0, below = 0, calls = 0, seen = 0, least = 0;
+  };
+  double callGuess() const {
+    double time = 0, calls = 0;
+    for (const auto& row : rows_) time += row.below, calls += row.calls;
+    return calls > 0 ? time / calls : 0;
+  }
+  static constexpr double firstGuess = 0.1, halfLife = 1.5, leastAges = 0.02;
+  std::vector<Row> rows_;
+  Meter cores_, calls_;
+};
+
+// Memory and the crowd on the cores, with the cold line. Guards only cap.
+class Guard {
+ public:
+  explicit Guard(const Machine& machine) : m_(machine) {}
+
+  bool fits(double moreKb) const { return kb_ + moreKb <= m_.memoryKb * memoryMargin; }
+  bool over() const { return !fits(0); }
+  void take(double kb) { kb_ += kb; }
+  double runKb(double heldKb) const { return heldKb * m_.runFactor; }
+  double keyKb() const { return m_.keyKb; }
+  // Reqs started and not ended, at calls too, since these come back to the cores unasked.
+  double crowd(Span now) const {
+    const double warmth = m_.warmWithin > 0s ? std::min(1.0, seconds(now) / seconds(m_.warmWithin)) : 1.0;
+    const double speed = m_.cold ? m_.coldSpeed + (1 - m_.coldSpeed) * warmth : 1.0;
+    return std::max(1.0, m_.cores * (1 + (m_.crowdPerCore - 1) * speed) * crowdMargin - 1);
+  }
+  bool mayStop() const { return m_.halting == Halting::drop; }
+
+ private:
+  static constexpr double memoryMargin = 0.94, crowdMargin = 0.9;
+  const Machine m_;
+  double kb_ = 0;
+};
+
+// The cap on calls in hand, and what a call's end proves.
+class Calls {
+ public:
+  explicit Calls(const Below& below) : b_(below) {}
+
+  bool room(Span now) {
+    while (!given_.empty() && given_.front() <= now) given_.pop_front();
+    return b_.callShare <= 0 || made_ + static_cast<int>(given_.size()) + 1 <= std::max(1.0, b_.callShare * shareUsed);
+  }
+  int inHand() const { return made_; }
+  void made() { ++made_; }
+  void ended(Span now, bool mayLinger) {
+    --made_;
+    if (mayLinger && b_.linger > 0s) given_.push_back(now + b_.linger);
+  }
+  static bool provesNotRun(Outcome o) {
+    return o == Outcome::refused || o == Outcome::unreachable || o == Outcome::moot;
+  }
+
+ private:
+  static constexpr double shareUsed = 0.8;
+  const Below b_;
+  int made_ = 0;
+  std::deque<Span> given_;  // calls given up that may linger below; each leaves after the stated linger
+};
+
+// Uniqued reqs, and reads whose answer may serve others, by the id that a repeat will name.
+class Repeats {
+ public:
+  struct Entry {
+    Span until{};
+    bool ran = false, uniqued = false;
+  };
+  Entry* find(ReqId id) {
+    const auto it = entries_.find(id);
+    return it == entries_.end() ? nullptr : &it->second;
+  }
+  void keep(ReqId id, Entry entry) { entries_.insert_or_assign(id, entry); }
+  bool drop(ReqId id) { return entries_.erase(id) > 0; }
+  // Emptied by time: an entry goes when its window has passed. Returns how many went.
+  int expire(Span now) {
+    return static_cast<int>(std::erase_if(entries_, [&](const auto& e) { return e.second.until <= now; }));
+  }
+
+ private:
+  std::map<ReqId, Entry> entries_;
+};
+
+// How hard the server is pressed, from the wait that a req read now would have: 0 at rest, 1 when all is too much.
+class Pressure {
+ public:
+  double level() const { return level_; }
+  void feel(double secs, double wait, double bearable) {
+    const double strain = wait / std::max(bearable, 1e-3) - ease;
+    level_ = std::clamp(level_ + secs * (strain > 0 ? std::min(strain, 2.0) * rise : -fall), 0.0, 1.0);
+  }
+
+ private:
+  static constexpr double ease = 0.5, rise = 0.8, fall = 0.3;
+  double level_ = 0;
+};
+
+// The notice to leave, and what may still run after it.
+class Drain {
+ public:
+  explicit Drain(Span grace) : grace_(grace) {}
+  void notice(Span now, Span left) { told_ = now, stop_ = now + left; }
+  bool leaving() const { return stop_ < Span::max(); }
+  bool mayRun(Span arrived) const { return !leaving() || arrived <= told_ + grace_; }
+  Span stop() const { return stop_; }
+
+ private:
+  const Span grace_;
+  Span told_{}, stop_ = Span::max();
+};
+
+enum class Stage { fresh, held, echoing, onCore, wanting, calling };
+
+struct Req {
+  ReqRead read;
+  Span arrived{}, due{}, target{};
+  Stage stage = Stage::fresh;
+  Span started{}, offCore{}, off{};  // off: when it left the cores for a call
+  int calls = 0;
+  bool owed = true, ran = false, callFailed = false, reuses = false;
+  Outcome lastCall = Outcome::done;
+};
+
+class Server final : public Decision {
+ public:
+  Server(Seed seed, const Machine& machine, const std::vector<HandlerTerms>& handlers,
+         const std::vector<Customer>& customers, const Below& below, const Duties& duties, const Voice& voice,
+         const Trade& trade, const Fleet& fleet)
+      : chance_(seed), handlers_(handlers), customers_(customers), voice_(voice), trade_(trade), fleet_(fleet),
+        cores_(machine.cores), climber_(machine.cores), pace_(handlers), guard_(machine), calls_(below),
+        drain_(duties.drainGrace), quota_(customers.size(), 1.0) {}
+
+  std::vector<Action> decide(Span now, std::span<const Event> happened) override {
+    out_.clear();
+    const double secs = seconds(now - now_);
+    now_ = now;
+    pace_.pass(secs, onCore_, calls_.inHand());
+    for (auto& tokens : quota_) tokens = std::min(1.0, tokens + secs);
+    guard_.take(-guard_.keyKb() * repeats_.expire(now));
+    if (!opened_) {
+      opened_ = true;
+      say(SayHealth{true, true});
+      say(SetTimer{tick_, tickEvery});
+    }
+    for (const auto& event : happened) std::visit([this](const auto& e) { take(e); }, event);
+    path(secs);
+    return std::move(out_);
+  }
+
+ private:
+  // What happened, taken into the books.
+  void take(const ReqRead& e) {
+    const HandlerTerms& terms = handlers_[index(e.handler)];
+    Req req{.read = e};
+    req.arrived = now_ - e.unread;
+    req.due = std::max(now_, e.patience ? now_ + *e.patience : req.arrived + terms.clientTimeout);
+    const Span stretch = spanOf(terms.targetStretch * pace_.core(e.handler));
+    req.target = std::min(req.arrived + terms.responseTarget + stretch, req.due);
+    guard_.take(e.heldKb);
+    reqs_.insert_or_assign(e.id, req);
+    fresh_.push_back(e.id);
+    unread_ = std::max(unread_, seconds(e.unread));
+  }
+  void take(const RunEnded& e) {
+    Req* req = find(e.id);
+    if (!req) return;
+    if (req->stage == Stage::echoing) return gone(e.id);
+    if (e.outcome == Outcome::moot) return gone(e.id);
+    if (req->stage == Stage::calling) calls_.ended(now_, true);
+    const HandlerId handler = req->read.handler;
+    if (req->stage == Stage::onCore && e.outcome != Outcome::stopped) {
+      pace_.ran(handler, now_ - req->started - req->offCore, req->offCore, req->calls);
+      // Shed and errored reqs must not pass for low latency; time in calls is not the limit's doing.
+      if (e.outcome == Outcome::done && req->owed)
+        climber_.answered(pace_.scaled(handler, seconds(now_ - req->arrived - req->offCore)));
+    }
+    if (e.outcome == Outcome::stopped && req->owed) {  // back in the hold, its work lost
+      leaveCores(*req);
+      guard_.take(req->read.heldKb - guard_.runKb(req->read.heldKb));
+      req->stage = Stage::held;
+      if (handlers_[index(handler)].effect == Effect::replayable) hold_.push_front(e.id);
+      else giveUp(*req);
+      return;
+    }
+    gone(e.id);
+  }
+  void take(const CallWanted& e) {
+    Req* req = find(e.id);
+    if (!req || req->stage != Stage::onCore) return;
+    leaveCores(*req);
+    req->stage = Stage::wanting;
+    req->off = now_;
+    wants_.push_back(e.id);
+  }
+  void take(const CallEnded& e) {
+    Req* req = find(e.id);
+    if (!req || req->stage != Stage::calling) return;
+    calls_.ended(now_, e.outcome == Outcome::timedOut || e.outcome == Outcome::cutShort);
+    pace_.called();
+    req->lastCall = e.outcome;
+    if (e.outcome == Outcome::done) {
+      req->offCore += now_ - req->off;
+      ++req->calls;
+      req->callFailed = false;
+      req->stage = Stage::onCore;
+      ++onCore_;
+    } else {
+      req->stage = Stage::wanting;
+      if (req->callFailed) req->calls = -1;  // failed twice
+      req->callFailed = true;
+      wants_.push_back(e.id);
+    }
+  }
+  void take(const CallerGone& e) {
+    Req* req = find(e.id);
+    if (!req) return;
+    req->owed = false;
+    if (req->stage == Stage::onCore) return stopIfUseless(*req);
+    if (req->stage == Stage::wanting || req->stage == Stage::calling) return;  // its run ends by itself
+    unkeep(*req);
+    gone(e.id);
+  }
+  void take(const LeaveNotice& e) {
+    drain_.notice(now_, e.left);
+    say(SayHealth{false, true});
+    say(Note{"leaving: health withdrawn, held " + std::to_string(hold_.size())});
+  }
+  void take(const TimerRang& e) {
+    if (e.timer != tick_) return;
+    say(SetTimer{tick_, tickEvery});
+    if (e.cpu) cpu_ = *e.cpu;
+  }
+
+  // The path of a req.
+  void path(double secs) {
+    const double ceiling = guard_.crowd(now_);
+    climber_.cap(ceiling);
+    climber_.step(now_, ceiling);
+
+    // Read: a repeat joins its first, one that can't be served is shed at once, the others are held.
+    for (const ReqId id : std::exchange(fresh_, {})) {
+      Req* req = find(id);
+      if (!req || joinsFirst(*req)) continue;
+      if (!drain_.mayRun(req->arrived) || tooLate(*req) || refusedUnderPressure(*req) || !keepMark(*req)) {
+        giveUp(*req);
+        continue;
+      }
+      req->stage = Stage::held;
+      hold_.push_back(id);
+    }
+
+    // Held: what can't be done in time any more is shed, then the hold is cut from its oldest end.
+    std::erase_if(hold_, [this](ReqId id) { return !find(id); });
+    for (const ReqId id : std::vector<ReqId>(hold_.begin(), hold_.end()))
+      if (tooLate(*find(id))) giveUp(*find(id));
+    std::erase_if(hold_, [this](ReqId id) { return !find(id); });
+    double backlog = 0;
+    for (const ReqId id : hold_) backlog += pace_.core(find(id)->read.handler);
+    const double width = std::max(1.0, climber_.limit());
+    bool full = false;
+    while (!hold_.empty() && (backlog / width > bearable() || guard_.over())) {
+      Req& oldest = *find(hold_.front());
+      backlog -= pace_.core(oldest.read.handler);
+      hold_.pop_front();
+      giveUp(oldest);
+      full = true;
+    }
+    if (full) lastFull_ = now_;
+    if (now_ - lastFull_ > fullFades) fullSince_ = now_;
+
+    // Started: while the limit, the crowd and the memory allow; newest first once the hold has stood full a while.
+    const bool newestFirst = now_ - fullSince_ > fullAWhile;
+    while (!hold_.empty()) {
+      if (onCore_ + 1 > climber_.limit()) {
+        climber_.heldBack();
+        if (cpu_ < idleBelow && now_ >= nextQuick_) {
+          nextQuick_ = now_ + quickEvery;
+          climber_.climbQuickly(ceiling);
+          continue;
+        }
+        break;
+      }
+      if (started_ + 1 > ceiling) break;
+      const ReqId id = newestFirst ? hold_.back() : hold_.front();
+      Req& req = *find(id);
+      const double moreKb = guard_.runKb(req.read.heldKb) - req.read.heldKb;
+      if (!guard_.fits(moreKb)) break;
+      newestFirst ? hold_.pop_back() : hold_.pop_front();
+      guard_.take(moreKb);
+      req.stage = Stage::onCore;
+      req.ran = true;
+      req.started = now_;
+      if (auto* entry = repeats_.find(id)) entry->ran = true;
+      ++onCore_, ++started_;
+      say(Start{id});
+    }
+
+    // At a call: made within the cap, skipped where that earns something, given up where it comes too late.
+    for (const ReqId id : std::exchange(wants_, {})) {
+      Req* req = find(id);
+      if (!req || req->stage != Stage::wanting || !req->owed) continue;
+      const HandlerTerms& terms = handlers_[index(req->read.handler)];
+      const bool repeatable = terms.effect == Effect::replayable || Calls::provesNotRun(req->lastCall);
+      const bool late = now_ + spanOf(pace_.call()) > req->target;
+      if (terms.skipValue > 0 && (late || req->callFailed)) {
+        req->stage = Stage::onCore;
+        req->offCore += now_ - req->off;
+        ++onCore_;
+        say(SkipCall{id});
+      } else if ((req->callFailed && !repeatable) || req->calls < 0 || (now_ > req->target && terms.lateValue <= 0)) {
+        giveUp(*req);
+      } else if (!calls_.room(now_)) {
+        wants_.push_back(id);
+      } else {
+        req->stage = Stage::calling;
+        calls_.made();
+        const Span rest = (now_ < req->target ? req->target : req->due) - now_;
+        say(Call{id, std::max<Span>(rest, 1ms)});
+      }
+    }
+
+    // Due: whatever is still owed is answered before its time, running or not.
+    std::vector<ReqId> over;
+    for (const auto& [id, req] : reqs_)
+      if (req.owed && std::min(req.due, drain_.stop() - tickEvery) - now_ <= dueMargin) over.push_back(id);
+    std::sort(over.begin(), over.end());
+    for (const ReqId id : over) giveUp(*find(id));
+    std::erase_if(hold_, [this](ReqId id) { return !find(id); });
+
+    pressure_.feel(secs, backlog / width + unread_, bearable());
+    unread_ *= std::exp2(-secs / 0.3);
+    speak();
+  }
+
+  // Not in time even if it ran at once: judged by what runs and calls take here now.
+  bool tooLate(const Req& req) const {
+    const HandlerTerms& terms = handlers_[index(req.read.handler)];
+    const Span takes = spanOf(pace_.core(req.read.handler) + pace_.below(req.read.handler));
+    if (now_ + takes <= req.target) return false;
+    const bool lateEarns = terms.lateValue > 0 && pressure_.level() <= 0 && now_ + takes <= req.due;
+    return !lateEarns;
+  }
+
+  // Under pressure reqs are refused by chance, the more likely the less they are worth for the work.
+  bool refusedUnderPressure(const Req& req) {
+    const HandlerTerms& terms = handlers_[index(req.read.handler)];
+    double worth = terms.value / (trade_.valueByWork ? 1 : std::max(pace_.core(req.read.handler), 1e-3));
+    if (overQuota(req.read.customer)) worth *= trade_.overQuotaValue;
+    meanWorth_ += (worth - meanWorth_) * (meanWorth_ == 0 ? 1 : 0.02);
+    if (voice_.signal == SignalKind::level && req.read.rank < said_) return true;
+    const double odds = pressure_.level() * std::min(4.0, meanWorth_ / std::max(worth, 1e-9));
+    return pressure_.level() > 0 && chance_.draw() < odds;
+  }
+
+  // This server's part of the customer's quota, as a bucket of one second; emptied and filled by time alone.
+  bool overQuota(CustomerId id) {
+    if (index(id) >= customers_.size() || customers_[index(id)].quotaPerSecond <= 0) return false;
+    double& tokens = quota_[index(id)];
+    const double part = customers_[index(id)].quotaPerSecond / fleet_.servers;
+    if (tokens * part < 1) return true;
+    tokens -= 1 / part;
+    return false;
+  }
+
+  // A repeat of a uniqued req that may have run, or of a read under way, waits for its first.
+  bool joinsFirst(Req& req) {
+    if (!req.read.repeats) return false;
+    const Effect effect = handlers_[index(req.read.handler)].effect;
+    const auto* entry = repeats_.find(*req.read.repeats);
+    if (effect != Effect::uniqued && !entry) return false;
+    req.reuses = true;
+    req.stage = Stage::echoing;
+    say(AnswerFromFirst{req.read.id});
+    return true;
+  }
+
+  // Keeps the req's mark so that a repeat is known; false where memory has no room for it.
+  bool keepMark(const Req& req) {
+    const HandlerTerms& terms = handlers_[index(req.read.handler)];
+    const bool uniqued = terms.effect == Effect::uniqued;
+    const bool shares = terms.effect == Effect::replayable && trade_.shareFor > 0s && !req.read.write &&
+                        req.read.subject != SubjectId{};
+    if (!uniqued && !shares) return true;
+    if (!guard_.fits(guard_.keyKb())) return !uniqued;
+    const Span keepFor = uniqued ? req.arrived + terms.window + keepMargin - now_ : trade_.shareFor + terms.responseTarget;
+    guard_.take(guard_.keyKb());
+    repeats_.keep(req.read.id, {now_ + keepFor, false, uniqued});
+    say(Keep{req.read.id, keepFor});
+    return true;
+  }
+  void unkeep(const Req& req) {
+    if (req.ran || !repeats_.drop(req.read.id)) return;
+    guard_.take(-guard_.keyKb());
+    say(Forget{req.read.id});
+  }
+
+  // Answers a req for good. What has run, or repeats one that has, is never said to have not run.
+  void giveUp(Req& req) {
+    const ReqId id = req.read.id;
+    const bool replayable = handlers_[index(req.read.handler)].effect == Effect::replayable;
+    if (replayable || (!req.ran && !req.reuses)) say(Shed{id, stayAway(), lastTry()});
+    else say(Fail{id});
+    req.owed = false;
+    if (req.stage == Stage::onCore) return stopIfUseless(req);
+    if (req.stage == Stage::wanting || req.stage == Stage::calling) return;
+    unkeep(req);
+    gone(id);
+  }
+  void stopIfUseless(const Req& req) {
+    if (guard_.mayStop() && handlers_[index(req.read.handler)].effect == Effect::replayable) say(Stop{req.read.id});
+  }
+  Span stayAway() const {
+    if (drain_.leaving()) return voice_.longestAdvice;
+    return spanOf(seconds(voice_.longestAdvice) * pressure_.level());
+  }
+  // Only where the trouble is not this server's own is another try elsewhere as bad.
+  bool lastTry() const { return !drain_.leaving() && pressure_.level() > 0.3 && pace_.slowness() < 1.5; }
+
+  // Signals, said only when they change enough to matter.
+  void speak() {
+    if (voice_.signal == SignalKind::none) return;
+    const double p = drain_.leaving() ? 1.0 : pressure_.level();
+    double value = 1 - 0.95 * p;
+    if (voice_.signal == SignalKind::level) value = drain_.leaving() ? 1.0 : 0.9 * p;
+    if (voice_.signal == SignalKind::credit)
+      value = std::max(0.2, 2 * climber_.limit() / fleet_.callers * (1 - 0.9 * p));
+    if (drain_.leaving() && voice_.signal != SignalKind::level) value = 0;
+    const double step = voice_.signal == SignalKind::credit ? 0.5 : 0.03;
+    if (saidOnce_ && std::abs(value - said_) < step && (value == said_ || value > step)) return;
+    saidOnce_ = true;
+    said_ = value;
+    say(SaySignal{value});
+  }
+
+  // The wait that the hold may stand for: a part of the time that reqs have to spare, by the handler with least.
+  double bearable() const {
+    double least = 1e9;
+    for (std::size_t i = 0; i < handlers_.size(); ++i) {
+      const HandlerId id{static_cast<std::uint8_t>(i)};
+      least = std::min(least, seconds(handlers_[i].responseTarget) - pace_.core(id) - pace_.below(id));
+    }
+    return std::max(holdPart * least, 0.05);
+  }
+
+  Req* find(ReqId id) {
+    const auto it = reqs_.find(id);
+    return it == reqs_.end() ? nullptr : &it->second;
+  }
+  void leaveCores(const Req& req) {
+    if (req.stage == Stage::onCore) --onCore_;
+  }
+  void gone(ReqId id) {
+    const Req& req = *find(id);
+    leaveCores(req);
+    const bool running = req.stage >= Stage::onCore;
+    if (running) --started_;
+    guard_.take(-(running ? guard_.runKb(req.read.heldKb) : req.read.heldKb));
+    reqs_.erase(id);
+  }
+  void say(Action action) { out_.push_back(std::move(action)); }
+
+  static constexpr TimerId tick_{1};
+  static constexpr Span tickEvery = 25ms, dueMargin = 30ms, keepMargin = 50ms;
+  static constexpr Span fullAWhile = 1s, fullFades = 500ms, quickEvery = 100ms;
+  static constexpr double idleBelow = 0.85, holdPart = 0.5;
+
+  Chance chance_;
+  const std::vector<HandlerTerms> handlers_;
+  const std::vector<Customer> customers_;
+  const Voice voice_;
+  const Trade trade_;
+  const Fleet fleet_;
+  const int cores_;
+  Climber climber_;
+  Pace pace_;
+  Guard guard_;
+  Calls calls_;
+  Repeats repeats_;
+  Pressure pressure_;
+  Drain drain_;
+  std::unordered_map<ReqId, Req> reqs_;  // a req leaves when its answer and its run have both ended
+  std::deque<ReqId> hold_;
+  std::vector<ReqId> fresh_, wants_;
+  std::vector<double> quota_;
+  std::vector<Action> out_;
+  Span now_{}, lastFull_ = -1s, fullSince_{}, nextQuick_{};
+  int onCore_ = 0, started_ = 0;
+  double cpu_ = 0, unread_ = 0, meanWorth_ = 0, said_ = 0;
+  bool opened_ = false, saidOnce_ = false;
+};
+
+}  // namespace
+
+double fuzzyStep(double lastStep, double latencyChange) {
+  const auto pos = [](double x) { return (1 + std::clamp(x, -1.0, 1.0)) / 2; };
+  const double up = pos(lastStep), down = 1 - up, worse = pos(latencyChange), better = 1 - worse;
+  const double more = std::min(down, worse) + std::min(up, better);
+  const double fewer = std::min(down, better) + std::min(up, worse);
+  return (more - fewer) / (more + fewer);
+}
+
+std::unique_ptr<Decision> openDecision(Seed seed, const Machine& machine, const std::vector<HandlerTerms>& handlers,
+                                       const std::vector<Customer>& customers, const Below& below,
+                                       const Duties& duties, const Voice& voice, const Trade& trade,
+                                       const Fleet& fleet) {
+  return std::make_unique<Server>(seed, machine, handlers, customers, below, duties, voice, trade, fleet);
+}
+
+}  // namespace rainhook
--- /dev/null
+++ b/src/simhost/host.cpp
@@ -0,0 +1,81 @@
+#include "simhost/host.h"
+
+#include <string>
+#include <utility>
+
+namespace simhost {
+namespace {
+
+rainhook::TimerRang toModule(const Ring& ring, const std::vector<Gauge>& order) {
+  rainhook::TimerRang out;
+  out.timer = rainhook::TimerId{ring.token};
+  for (std::size_t i = 0; i < ring.gauges.size() && i < order.size(); ++i) {
+    const double value = static_cast<double>(ring.gauges[i]);
+    switch (order[i]) {
+      case Gauge::cpu: out.cpu = value; break;
+      case Gauge::wantingCore: out.wantingCore = value; break;
+      case Gauge::memory: out.memory = value; break;
+      case Gauge::connections: out.connections = value; break;
+      case Gauge::other: break;
+    }
+  }
+  return out;
+}
+
+}  // namespace
+
+void Host::attach(InstanceNumber number, const Attach& attach, std::uint64_t clock) {
+  Instance fresh;
+  fresh.facts = readFacts(attach.facts);
+  fresh.startedAt = clock;
+  const Facts& f = fresh.facts;
+  fresh.decision = rainhook::openDecision(rainhook::Seed{attach.seed}, f.machine, f.handlers, f.customers, f.below,
+                                          f.duties, f.voice, f.trade, f.fleet);
+  fresh.touched = true;
+  instances_.insert_or_assign(number, std::move(fresh));
+}
+
+Host::Instance& Host::known(InstanceNumber number) {
+  const auto it = instances_.find(number);
+  if (it == instances_.end())
+    throw WireError("instance " + std::to_string(number) + " has an event but was never attached");
+  it->second.touched = true;
+  return it->second;
+}
+
+Reply Host::answer(Batch batch) {
+  for (auto& [number, event] : batch.events) {
+    if (const auto* attached = std::get_if<Attach>(&event)) {
+      attach(number, *attached, batch.clock);
+    } else if (std::holds_alternative<Detach>(event)) {
+      known(number);
+      instances_.erase(number);
+    } else if (const auto* ring = std::get_if<Ring>(&event)) {
+      Instance& instance = known(number);
+      instance.pending.emplace_back(toModule(*ring, instance.facts.gauges));
+    } else {
+      Instance& instance = known(number);
+      auto& plain = std::get<rainhook::Event>(event);
+      if (auto* req = std::get_if<rainhook::ReqRead>(&plain)) {
+        if (static_cast<std::size_t>(req->handler) >= instance.facts.handlers.size())
+          throw WireError("instance " + std::to_string(number) + ": a request of a class that is not in its settings");
+        if (!instance.facts.tellsPatience) req->patience.reset();
+      }
+      instance.pending.push_back(std::move(plain));
+    }
+  }
+  Reply reply;
+  for (auto& [number, instance] : instances_) {
+    if (!std::exchange(instance.touched, false)) continue;
+    const auto events = std::exchange(instance.pending, {});
+    try {
+      const auto now = rainhook::Span(static_cast<rainhook::Span::rep>(batch.clock - instance.startedAt));
+      for (const auto& action : instance.decision->decide(now, events)) reply.add(number, action);
+    } catch (const std::exception& error) {
+      reply.fault(number, error.what());
+    }
+  }
+  return reply;
+}
+
+}  // namespace simhost
