--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -107,23 +107,23 @@
     calls_.fade(secs, halfLife, calling);
     for (auto& row : rows_) row.least *= 1 + secs * leastAges;
   }
-  void ran(HandlerId id, Span onCore, Span below, int calls) {
+  void ran(HandlerId id, Span onCore, int calls) {
     Row& row = rows_[index(id)];
-    const double secs = seconds(onCore);
     cores_.end(row.core);
-    row.seen = std::min(row.seen + 1, 100.0);
-    row.core += (secs - row.core) / (row.seen + 1);
-    row.below += (seconds(below) - row.below) / std::min(row.seen, 20.0);
-    row.calls += (calls - row.calls) / std::min(row.seen, 20.0);
+    row.seen = std::min(row.seen + 1, 50.0);
+    row.core += (seconds(onCore) - row.core) / (row.seen + 1);
+    row.calls += (calls - row.calls) / row.seen;
+  }
+  void called(Span took) {
+    calls_.end(1);
+    callsSeen_ = std::min(callsSeen_ + 1, 200.0);
+    usualCall_ += (seconds(took) - usualCall_) / callsSeen_;
   }
-  void called() { calls_.end(1); }
   double slowness() const { return cores_.each(1, 0.5); }
   double core(HandlerId id) const { return rows_[index(id)].core * slowness(); }
-  double call() const { return calls_.each(callGuess(), 1); }
-  double below(HandlerId id) const {
-    const Row& row = rows_[index(id)];
-    return std::max(row.below, row.calls * call());
-  }
+  double call() const { return calls_.each(usualCall_, 1); }
+  double calls(HandlerId id) const { return rows_[index(id)].calls; }
+  double below(HandlerId id) const { return calls(id) * call(); }
   // Latency over the handler's least; the least ages upward so that it can be forgotten.
   double scaled(HandlerId id, double latency) {
     Row& row = rows_[index(id)];
@@ -133,16 +133,12 @@
 
  private:
   struct Row {
-    double core = 0, below = 0, calls = 0, seen = 0, least = 0;
+    double core = 0, calls = 0, seen = 0, least = 0;
   };
-  double callGuess() const {
-    double time = 0, calls = 0;
-    for (const auto& row : rows_) time += row.below, calls += row.calls;
-    return calls > 0 ? time / calls : 0;
-  }
   static constexpr double firstGuess = 0.1, halfLife = 1.5, leastAges = 0.02;
   std::vector<Row> rows_;
   Meter cores_, calls_;
+  double usualCall_ = 0, callsSeen_ = 0;
 };
 
 // Memory and the crowd on the cores, with the cold line. Guards only cap.
@@ -176,8 +172,9 @@
 
   bool room(Span now) {
     while (!given_.empty() && given_.front() <= now) given_.pop_front();
-    return b_.callShare <= 0 || made_ + static_cast<int>(given_.size()) + 1 <= std::max(1.0, b_.callShare * shareUsed);
+    return made_ + static_cast<int>(given_.size()) + 1 <= width();
   }
+  double width() const { return b_.callShare > 0 ? std::max(1.0, b_.callShare * shareUsed) : 1e6; }
   int inHand() const { return made_; }
   void made() { ++made_; }
   void ended(Span now, bool mayLinger) {
@@ -305,7 +302,7 @@
     if (req->stage == Stage::calling) calls_.ended(now_, true);
     const HandlerId handler = req->read.handler;
     if (req->stage == Stage::onCore && e.outcome != Outcome::stopped) {
-      pace_.ran(handler, now_ - req->started - req->offCore, req->offCore, req->calls);
+      pace_.ran(handler, now_ - req->started - req->offCore, req->calls);
       // Shed and errored reqs must not pass for low latency; time in calls is not the limit's doing.
       if (e.outcome == Outcome::done && req->owed)
         climber_.answered(pace_.scaled(handler, seconds(now_ - req->arrived - req->offCore)));
@@ -332,7 +329,7 @@
     Req* req = find(e.id);
     if (!req || req->stage != Stage::calling) return;
     calls_.ended(now_, e.outcome == Outcome::timedOut || e.outcome == Outcome::cutShort);
-    pace_.called();
+    pace_.called(e.took);
     req->lastCall = e.outcome;
     if (e.outcome == Outcome::done) {
       req->offCore += now_ - req->off;
@@ -390,8 +387,21 @@
     for (const ReqId id : std::vector<ReqId>(hold_.begin(), hold_.end()))
       if (tooLate(*find(id))) giveUp(*find(id));
     std::erase_if(hold_, [this](ReqId id) { return !find(id); });
-    double backlog = 0;
-    for (const ReqId id : hold_) backlog += pace_.core(find(id)->read.handler);
+    double backlog = 0, callsAhead = static_cast<double>(wants_.size());
+    for (const ReqId id : hold_) callsAhead += pace_.calls(find(id)->read.handler);
+    // Calls waiting for room: what calls is shed first, and the calls are what it counts by, not the cores.
+    for (const ReqId id : std::vector<ReqId>(hold_.begin(), hold_.end())) {
+      Req& req = *find(id);
+      const double calls = pace_.calls(req.read.handler);
+      if (callsAhead * pace_.call() / calls_.width() <= bearable()) break;
+      if (calls < 0.1) continue;
+      callsAhead -= calls;
+      giveUp(req, true);
+    }
+    std::erase_if(hold_, [this](ReqId id) { return !find(id); });
+    const bool callsWait = !wants_.empty();
+    for (const ReqId id : hold_)
+      if (!callsWait || pace_.calls(find(id)->read.handler) < 0.1) backlog += pace_.core(find(id)->read.handler);
     const double width = std::max(1.0, climber_.limit());
     bool full = false;
     while (!hold_.empty() && (backlog / width > bearable() || guard_.over())) {
@@ -406,6 +416,7 @@
 
     // Started: while the limit, the crowd and the memory allow; newest first once the hold has stood full a while.
     const bool newestFirst = now_ - fullSince_ > fullAWhile;
+    std::vector<ReqId> waitForCalls;
     while (!hold_.empty()) {
       if (onCore_ + 1 > climber_.limit()) {
         climber_.heldBack();
@@ -422,6 +433,10 @@
       const double moreKb = guard_.runKb(req.read.heldKb) - req.read.heldKb;
       if (!guard_.fits(moreKb)) break;
       newestFirst ? hold_.pop_back() : hold_.pop_front();
+      if (callsWait && pace_.calls(req.read.handler) >= 0.1) {  // its run would only stand waiting for a call
+        waitForCalls.push_back(id);
+        continue;
+      }
       guard_.take(moreKb);
       req.stage = Stage::onCore;
       req.ran = true;
@@ -431,20 +446,23 @@
       say(Start{id});
     }
 
+    if (newestFirst) hold_.insert(hold_.end(), waitForCalls.rbegin(), waitForCalls.rend());
+    else hold_.insert(hold_.begin(), waitForCalls.begin(), waitForCalls.end());
+
     // At a call: made within the cap, skipped where that earns something, given up where it comes too late.
     for (const ReqId id : std::exchange(wants_, {})) {
       Req* req = find(id);
       if (!req || req->stage != Stage::wanting || !req->owed) continue;
       const HandlerTerms& terms = handlers_[index(req->read.handler)];
       const bool repeatable = terms.effect == Effect::replayable || Calls::provesNotRun(req->lastCall);
-      const bool late = now_ + spanOf(pace_.call()) > req->target;
+      const bool late = now_ + spanOf(pace_.call() * 1.5) > req->target;
       if (terms.skipValue > 0 && (late || req->callFailed)) {
         req->stage = Stage::onCore;
         req->offCore += now_ - req->off;
         ++onCore_;
         say(SkipCall{id});
-      } else if ((req->callFailed && !repeatable) || req->calls < 0 || (now_ > req->target && terms.lateValue <= 0)) {
-        giveUp(*req);
+      } else if ((req->callFailed && !repeatable) || req->calls < 0 || (late && callsWait)) {
+        giveUp(*req, true);
       } else if (!calls_.room(now_)) {
         wants_.push_back(id);
       } else {
@@ -531,10 +549,10 @@
   }
 
   // Answers a req for good. What has run, or repeats one that has, is never said to have not run.
-  void giveUp(Req& req) {
+  void giveUp(Req& req, bool forBelow = false) {
     const ReqId id = req.read.id;
     const bool replayable = handlers_[index(req.read.handler)].effect == Effect::replayable;
-    if (replayable || (!req.ran && !req.reuses)) say(Shed{id, stayAway(), lastTry()});
+    if (replayable || (!req.ran && !req.reuses)) say(Shed{id, forBelow ? Span{} : stayAway(), forBelow || lastTry()});
     else say(Fail{id});
     req.owed = false;
     if (req.stage == Stage::onCore) return stopIfUseless(req);
