--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -292,7 +292,8 @@
     guard_.take(e.heldKb);
     reqs_.insert_or_assign(e.id, req);
     fresh_.push_back(e.id);
-    unread_ = std::max(unread_, seconds(e.unread));
+    unread_ += (seconds(e.unread) - unread_) * 0.1;
+    leastUnread_ = std::min(leastUnread_, seconds(e.unread));
   }
   void take(const RunEnded& e) {
     Req* req = find(e.id);
@@ -481,8 +482,8 @@
     for (const ReqId id : over) giveUp(*find(id));
     std::erase_if(hold_, [this](ReqId id) { return !find(id); });
 
-    pressure_.feel(secs, backlog / width + unread_, bearable());
-    unread_ *= std::exp2(-secs / 0.3);
+    pressure_.feel(secs, backlog / width + std::max(0.0, unread_ - 2 * leastUnread_), bearable());
+    leastUnread_ *= 1 + 0.02 * secs;
     speak();
   }
 
@@ -501,6 +502,8 @@
     double worth = terms.value / (trade_.valueByWork ? 1 : std::max(pace_.core(req.read.handler), 1e-3));
     if (overQuota(req.read.customer)) worth *= trade_.overQuotaValue;
     meanWorth_ += (worth - meanWorth_) * (meanWorth_ == 0 ? 1 : 0.02);
+    // Its reading is paid for: what could start at once is not refused.
+    if (onCore_ + static_cast<int>(hold_.size()) + 1 <= climber_.limit()) return false;
     if (voice_.signal == SignalKind::level && req.read.rank < said_) return true;
     const double odds = pressure_.level() * std::min(4.0, meanWorth_ / std::max(worth, 1e-9));
     return pressure_.level() > 0 && chance_.draw() < odds;
@@ -639,7 +642,7 @@
   std::vector<Action> out_;
   Span now_{}, lastFull_ = -1s, fullSince_{}, nextQuick_{};
   int onCore_ = 0, started_ = 0;
-  double cpu_ = 0, unread_ = 0, meanWorth_ = 0, said_ = 0;
+  double cpu_ = 0, unread_ = 0, leastUnread_ = 1, meanWorth_ = 0, said_ = 0;
   bool opened_ = false, saidOnce_ = false;
 };
 
