--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -362,7 +362,7 @@
   void take(const TimerRang& e) {
     if (e.timer != tick_) return;
     say(SetTimer{tick_, tickEvery});
-    if (e.cpu) cpu_ = *e.cpu;
+    idle_ = e.cpu && e.wantingCore && *e.cpu < idleBelow && *e.wantingCore < cores_;
   }
 
   // The path of a req.
@@ -421,7 +421,7 @@
     while (!hold_.empty()) {
       if (onCore_ + 1 > climber_.limit()) {
         climber_.heldBack();
-        if (cpu_ < idleBelow && now_ >= nextQuick_) {
+        if (idle_ && now_ >= nextQuick_) {
           nextQuick_ = now_ + quickEvery;
           climber_.climbQuickly(ceiling);
           continue;
@@ -642,8 +642,8 @@
   std::vector<Action> out_;
   Span now_{}, lastFull_ = -1s, fullSince_{}, nextQuick_{};
   int onCore_ = 0, started_ = 0;
-  double cpu_ = 0, unread_ = 0, leastUnread_ = 1, meanWorth_ = 0, said_ = 0;
-  bool opened_ = false, saidOnce_ = false;
+  double unread_ = 0, leastUnread_ = 1, meanWorth_ = 0, said_ = 0;
+  bool opened_ = false, saidOnce_ = false, idle_ = false;
 };
 
 }  // namespace
