--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -74,9 +74,9 @@
 
 struct Voice {
   SignalKind signal = SignalKind::none;
-  Span remembered{};      // how long a caller bears a signal in mind
+  Span remembered{};         // how long a caller bears a signal in mind
   bool listFollows = false;  // the list of servers follows the health said here
-  Span longestAdvice{};   // 0 where advice to stay away is not passed on
+  Span longestAdvice{};      // 0 where advice to stay away is not passed on
 };
 
 struct Trade {
@@ -194,13 +194,14 @@
   virtual std::vector<Action> decide(Span now, std::span<const Event> happened) = 0;
 };
 
-std::unique_ptr<Decision> openDecision(Seed seed, const Machine& machine, const std::vector<HandlerTerms>& handlers,
+std::unique_ptr<Decision> openDecision(Seed seed, const Machine& machine,
+                                       const std::vector<HandlerTerms>& handlers,
                                        const std::vector<Customer>& customers, const Below& below,
                                        const Duties& duties, const Voice& voice, const Trade& trade,
                                        const Fleet& fleet);
 
-// The four rules, for use on their own: the step asked for, from the last step and the change of the mean latency
-// that followed it, both normalized; the result lies in -1 to 1.
+// The four rules, for use on their own: the step asked for, from the last step and the change of the mean
+// latency that followed it, both normalized; the result lies in -1 to 1.
 double fuzzyStep(double lastStep, double latencyChange);
 
 }  // namespace rainhook
--- a/src/simhost/facts.cpp
+++ b/src/simhost/facts.cpp
@@ -112,9 +112,14 @@
   terms.skipValue = facts.numberAt("domain.classSkipWorth", at);
   terms.calls = facts.yesAt("domain.classCalls", at);
   switch (facts.choice(at0 + "effect", {"free", "guarded", "single_shot"})) {
-    case 1: terms.effect = Effect::uniqued; break;
-    case 2: terms.effect = Effect::nonReplayable; break;
-    default: break;
+    case 1:
+      terms.effect = Effect::uniqued;
+      break;
+    case 2:
+      terms.effect = Effect::nonReplayable;
+      break;
+    default:
+      break;
   }
   return terms;
 }
--- a/src/simhost/host.cpp
+++ b/src/simhost/host.cpp
@@ -12,11 +12,20 @@
   for (std::size_t i = 0; i < ring.gauges.size() && i < order.size(); ++i) {
     const double value = static_cast<double>(ring.gauges[i]);
     switch (order[i]) {
-      case Gauge::cpu: out.cpu = value; break;
-      case Gauge::wantingCore: out.wantingCore = value; break;
-      case Gauge::memory: out.memory = value; break;
-      case Gauge::connections: out.connections = value; break;
-      case Gauge::other: break;
+      case Gauge::cpu:
+        out.cpu = value;
+        break;
+      case Gauge::wantingCore:
+        out.wantingCore = value;
+        break;
+      case Gauge::memory:
+        out.memory = value;
+        break;
+      case Gauge::connections:
+        out.connections = value;
+        break;
+      case Gauge::other:
+        break;
     }
   }
   return out;
@@ -29,8 +38,8 @@
   fresh.facts = readFacts(attach.facts);
   fresh.startedAt = clock;
   const Facts& f = fresh.facts;
-  fresh.decision = rainhook::openDecision(rainhook::Seed{attach.seed}, f.machine, f.handlers, f.customers, f.below,
-                                          f.duties, f.voice, f.trade, f.fleet);
+  fresh.decision = rainhook::openDecision(rainhook::Seed{attach.seed}, f.machine, f.handlers, f.customers,
+                                          f.below, f.duties, f.voice, f.trade, f.fleet);
   fresh.touched = true;
   instances_.insert_or_assign(number, std::move(fresh));
 }
@@ -58,7 +67,8 @@
       auto& plain = std::get<rainhook::Event>(event);
       if (auto* req = std::get_if<rainhook::ReqRead>(&plain)) {
         if (static_cast<std::size_t>(req->handler) >= instance.facts.handlers.size())
-          throw WireError("instance " + std::to_string(number) + ": a request of a class that is not in its settings");
+          throw WireError("instance " + std::to_string(number) +
+                          ": a request of a class that is not in its settings");
         if (!instance.facts.tellsPatience) req->patience.reset();
       }
       instance.pending.push_back(std::move(plain));
--- a/src/simhost/host.h
+++ b/src/simhost/host.h
@@ -1,5 +1,5 @@
-// Hosts the instances of one process: each batch goes to the instances by number, in order, and their actions come
-// back as one reply. Instances share nothing.
+// Hosts the instances of one process: each batch goes to the instances by number, in order, and their actions
+// come back as one reply. Instances share nothing.
 #pragma once
 
 #include <cstdint>
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -9,7 +9,8 @@
 
 using namespace rainhook;
 
-static_assert(std::endian::native == std::endian::little, "frames are read and written in place, little-endian");
+static_assert(std::endian::native == std::endian::little,
+              "frames are read and written in place, little-endian");
 
 class Reader {
  public:
@@ -52,15 +53,24 @@
 
 Outcome outcomeOf(Reader& in) {
   switch (const auto status = in.number<std::uint16_t>("reason"); status) {
-    case 200: return Outcome::done;
-    case 502: return Outcome::errored;
-    case 429: return Outcome::refused;
-    case 408: return Outcome::timedOut;
-    case 521: return Outcome::unreachable;
-    case 520: return Outcome::cutShort;
-    case 444: return Outcome::stopped;
-    case 409: return Outcome::moot;
-    default: in.fail("unknown reason " + std::to_string(status));
+    case 200:
+      return Outcome::done;
+    case 502:
+      return Outcome::errored;
+    case 429:
+      return Outcome::refused;
+    case 408:
+      return Outcome::timedOut;
+    case 521:
+      return Outcome::unreachable;
+    case 520:
+      return Outcome::cutShort;
+    case 444:
+      return Outcome::stopped;
+    case 409:
+      return Outcome::moot;
+    default:
+      in.fail("unknown reason " + std::to_string(status));
   }
 }
 
@@ -94,7 +104,8 @@
       e.took = in.span("timeTakenNs");
       return Event{e};
     }
-    case 17: return Event{readReq(in)};
+    case 17:
+      return Event{readReq(in)};
     case 18: {
       Attach e;
       e.seed = in.number<std::uint64_t>("salt");
@@ -108,17 +119,22 @@
       for (unsigned i = 0; i < count; ++i) e.gauges.push_back(in.number<float>("metrics"));
       return e;
     }
-    case 20: return Detach{};
-    case 21: return Event{CallWanted{reqId(in)}};
-    case 22: return Event{CallerGone{reqId(in)}};
-    case 23: return Event{LeaveNotice{in.span("budgetNs")}};
+    case 20:
+      return Detach{};
+    case 21:
+      return Event{CallWanted{reqId(in)}};
+    case 22:
+      return Event{CallerGone{reqId(in)}};
+    case 23:
+      return Event{LeaveNotice{in.span("budgetNs")}};
     case 24: {
       CallEnded e{reqId(in), {}, {}};
       e.took = in.span("timeTakenNs");
       e.outcome = outcomeOf(in);
       return Event{e};
     }
-    default: in.fail("unknown event code " + std::to_string(code));
+    default:
+      in.fail("unknown event code " + std::to_string(code));
   }
 }
 
--- a/src/simhost/wire.h
+++ b/src/simhost/wire.h
@@ -1,4 +1,5 @@
-// The frames of the simulator's wire: batches of events in, replies out. Wire codes live here and nowhere else.
+// The frames of the simulator's wire: batches of events in, replies out. Wire codes live here and nowhere
+// else.
 #pragma once
 
 #include <cstddef>
--- /dev/null
+++ b/tests/decision_test.cpp
@@ -0,0 +1,145 @@
+// Small tests of the module, one for each failure found, without the bench.
+#include <gtest/gtest.h>
+
+#include "world.h"
+
+namespace rainhook {
+namespace {
+
+using Where = World::Where;
+
+// The cores do a req in `each`, however many share them; new reqs keep `held` of them waiting.
+void busyFor(World& w, Span time, Span each, int held) {
+  for (const Span until = w.now + time; w.now < until;) {
+    for (int i = w.count(Where::held); i < held; ++i) w.arrive();
+    w.pass(0ms);
+    const auto running = w.in(Where::running);
+    w.pass(each / w.machine.cores);
+    if (!running.empty() && w.reqs.at(running.front()).where == Where::running) w.end(running.front());
+    w.pass(0ms);
+  }
+}
+
+TEST(Climber, StartsAtTheCoresAndHoldsTheRest) {
+  World w;
+  w.open();
+  for (int i = 0; i < 4; ++i) w.arrive();
+  w.pass(0ms);
+  EXPECT_EQ(w.count(Where::running), w.machine.cores);
+  EXPECT_EQ(w.count(Where::held), 2);
+}
+
+TEST(Climber, FirstStepIsUpOneAndItDoesNotStandStillAtEvenLatency) {
+  World w;
+  w.open();
+  busyFor(w, 1500ms, 50ms, 2);
+  EXPECT_EQ(w.count(Where::running), w.machine.cores + 1);
+  busyFor(w, 10s, 50ms, 2);
+  EXPECT_EQ(w.count(Where::running), w.machine.cores);  // no opinion leans to fewer reqs
+}
+
+TEST(Climber, ClimbsQuicklyOnlyWhileCoresIdle) {
+  World w;
+  w.cpu = 0.3;  // the mean lags: by itself it does not say that a core is free now
+  w.open();
+  for (int i = 0; i < 6; ++i) w.arrive();
+  w.pass(300ms);
+  EXPECT_EQ(w.count(Where::running), w.machine.cores);
+  w.wanting = 1;
+  w.pass(200ms);
+  EXPECT_GT(w.count(Where::running), w.machine.cores);
+}
+
+TEST(Hold, WhatCannotBeDoneInTimeIsShedAtOnceWithATimeToComeBack) {
+  World w;
+  w.open();
+  const ReqId late = w.arrive(0, 2s, 990ms);
+  w.pass(0ms);
+  EXPECT_EQ(w.reqs.at(late).shedAnswers, 1);
+}
+
+TEST(Hold, IsCutFromItsOldestEnd) {
+  World w;
+  w.open();
+  busyFor(w, 2s, 100ms, 1);
+  std::vector<ReqId> ids;
+  for (int i = 0; i < 40; ++i) ids.push_back(w.arrive());
+  w.pass(0ms);
+  EXPECT_EQ(w.reqs.at(ids.front()).shedAnswers, 1);
+  EXPECT_EQ(w.reqs.at(ids.back()).shedAnswers, 0);
+}
+
+TEST(Pressure, DoesNotRefuseWhatAFreeCoreCouldStart) {
+  World w;
+  w.open();
+  busyFor(w, 3s, 100ms, 30);  // pressed hard
+  for (const ReqId id : w.in(Where::held)) w.leave(id);
+  for (const ReqId id : w.in(Where::running)) w.end(id);
+  w.pass(5ms);
+  const ReqId id = w.arrive();
+  w.pass(0ms);
+  EXPECT_EQ(w.reqs.at(id).where, Where::running);
+}
+
+// A dependency that is slow for a while: reqs that would only wait for a call stay held, others run on.
+TEST(Calls, WhatWouldOnlyWaitForACallStaysHeldAndOthersRunOn) {
+  World w;
+  w.below = {BelowKind::shared, 2, 5s, 200ms};
+  w.handlers.push_back(w.handlers[0]);
+  w.handlers[1].calls = true;
+  w.open();
+  const auto callOnce = [&] {
+    w.arrive(1), w.pass(0ms);
+    for (const ReqId id : w.in(Where::running)) w.want(id);
+    w.pass(0ms);
+  };
+  for (int i = 0; i < 10; ++i) {  // learns that handler 1 calls
+    callOnce();
+    for (const ReqId id : w.in(Where::calling)) w.endCall(id, Outcome::done), w.end(id);
+    w.pass(20ms);
+  }
+  callOnce(), callOnce();  // one call in hand, one req waiting for room
+  ASSERT_EQ(w.count(Where::wanting), 1);
+  const ReqId calls = w.arrive(1), plain = w.arrive(0);
+  w.pass(0ms);
+  EXPECT_EQ(w.reqs.at(calls).where, Where::held);
+  EXPECT_EQ(w.reqs.at(plain).where, Where::running);
+}
+
+TEST(Calls, ALongTroubleIsForgottenOnceItIsOver) {
+  World w;
+  w.handlers[0].calls = true;
+  w.open();
+  const auto runWithCall = [&](Span callTakes) {
+    const ReqId id = w.arrive();
+    w.pass(0ms);
+    if (w.reqs.at(id).where != Where::running) return false;
+    w.want(id), w.pass(callTakes);
+    if (w.reqs.at(id).where != Where::calling) return false;
+    w.endCall(id, Outcome::done), w.pass(5ms);
+    w.end(id), w.pass(5ms);
+    return true;
+  };
+  for (int i = 0; i < 30; ++i) runWithCall(20ms);
+  for (int i = 0; i < 10; ++i) runWithCall(900ms);
+  w.pass(6s);
+  EXPECT_TRUE(runWithCall(20ms));
+}
+
+TEST(Drain, NothingRunsAfterTheGraceAndAllIsAnsweredBeforeTheStop) {
+  World w;
+  w.open();
+  const ReqId running = w.arrive(0, 9s);
+  w.pass(0ms);
+  w.notice(3s), w.pass(1500ms);
+  const ReqId after = w.arrive(0, 9s);
+  w.pass(0ms);
+  EXPECT_EQ(w.reqs.at(after).starts, 0);
+  EXPECT_EQ(w.reqs.at(after).shedAnswers, 1);
+  w.pass(1490ms);
+  EXPECT_EQ(w.reqs.at(running).answers, 1);
+  EXPECT_TRUE(w.broken.empty());
+}
+
+}  // namespace
+}  // namespace rainhook
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,127 @@
+// Generated days against the plain model of the four rules: every effect, every halting, cold and warm,
+// drains, calls.
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include "world.h"
+
+namespace rainhook {
+namespace {
+
+struct Step {
+  unsigned kind, which;
+  int wait;
+};
+
+void showValue(const Step& step, std::ostream& os) {
+  os << "{" << step.kind << ", " << step.which << ", " << step.wait << "}";
+}
+
+template <typename T>
+T pick(const std::vector<T>& from, unsigned which) {
+  return from[which % from.size()];
+}
+
+void play(World& w, const Step& step) {
+  using Where = World::Where;
+  const auto running = w.in(Where::running), calling = w.in(Where::calling), wanting = w.in(Where::wanting);
+  const auto held = w.in(Where::held);
+  static const std::vector<Outcome> outcomes{Outcome::done,     Outcome::errored,     Outcome::refused,
+                                             Outcome::timedOut, Outcome::unreachable, Outcome::cutShort};
+  switch (step.kind) {
+    case 0:
+    case 1:
+    case 2:
+    case 3:
+      for (unsigned i = 0; i <= step.which % 6; ++i)
+        w.arrive(static_cast<int>(step.which % w.handlers.size()), Span(50ms) * (1 + step.which % 60));
+      break;
+    case 4:  // another try of an earlier req
+      if (w.ids > 0) {
+        const ReqId first{1 + step.which % w.ids};
+        if (w.effectOf(w.reqs.at(first)) == Effect::uniqued && w.reqs.at(first).where != World::Where::held)
+          w.arrive(static_cast<int>(w.reqs.at(first).read.handler), 2s, 0ms, first);
+      }
+      break;
+    case 5:
+    case 6:
+    case 7:
+      if (!running.empty())
+        w.end(pick(running, step.which), step.which % 7 ? Outcome::done : Outcome::errored);
+      break;
+    case 8:
+      if (!running.empty()) w.want(pick(running, step.which));
+      break;
+    case 9:
+    case 10:
+      if (!calling.empty()) w.endCall(pick(calling, step.which), pick(outcomes, step.which / 8));
+      break;
+    case 11:
+      if (const auto any = step.which % 2 ? running : held; !any.empty()) w.leave(pick(any, step.which / 2));
+      break;
+    case 12:
+      if (step.which % 8 == 0 && w.told == Span::max()) w.notice(Span(500ms) * (1 + step.which % 5));
+      break;
+    default:
+      w.wanting = step.which % 5;
+  }
+  if (w.now < w.stop) w.pass(std::min(Span(1ms) * (step.wait + 1), w.stop - w.now));
+}
+
+TEST(Rules, GeneratedDaysKeepAllFour) {
+  const bool held = rc::check("the four rules", [] {
+    World w;
+    w.machine.cold = *rc::gen::arbitrary<bool>();
+    w.machine.coldSpeed = 0.2;
+    w.machine.warmWithin = 4s;
+    w.machine.crowdPerCore = *rc::gen::inRange(2, 9);
+    w.machine.memoryKb = *rc::gen::inRange(600, 5000);
+    w.machine.halting = *rc::gen::element(Halting::none, Halting::drop, Halting::pause);
+    w.below = {*rc::gen::element(BelowKind::none, BelowKind::shared, BelowKind::tier), 0, 5s, 200ms};
+    if (w.below.kind == BelowKind::shared) w.below.callShare = *rc::gen::inRange(1, 6);
+    w.voice.signal =
+        *rc::gen::element(SignalKind::none, SignalKind::level, SignalKind::credit, SignalKind::weight);
+    w.trade.shareFor = *rc::gen::element<Span>(0ms, 500ms);
+    const double skip = *rc::gen::element(0.0, 0.3);
+    for (const Effect effect : {Effect::uniqued, Effect::nonReplayable, Effect::replayable})
+      w.handlers.push_back({.responseTarget = 800ms,
+                            .clientTimeout = 3s,
+                            .lateValue = skip,
+                            .skipValue = skip,
+                            .calls = true,
+                            .effect = effect,
+                            .window = 1500ms});
+    w.handlers[0].skipValue = skip;
+    w.open();
+    const auto steps = *rc::gen::container<std::vector<Step>>(rc::gen::construct<Step>(
+        rc::gen::inRange(0u, 14u), rc::gen::inRange(0u, 1000u), rc::gen::inRange(0, 120)));
+    for (const auto& step : steps) {
+      play(w, step);
+      RC_ASSERT(w.broken == std::vector<std::string>{});
+    }
+    w.pass(std::min<Span>(4s, w.stop - w.now));  // every answer is due by now
+    RC_ASSERT(w.broken == std::vector<std::string>{});
+  });
+  EXPECT_TRUE(held);
+}
+
+// The climber's rules against the paper's table, written out plainly.
+TEST(Rules, FuzzyStepFollowsTheTable) {
+  const bool held = rc::check("the table of four rules", [] {
+    const double du = *rc::gen::inRange(-200, 201) / 100.0, dy = *rc::gen::inRange(-200, 201) / 100.0;
+    const auto grade = [](double x, double peak) { return std::clamp(1 - std::abs(x - peak) / 2, 0.0, 1.0); };
+    const double u = std::clamp(du, -1.0, 1.0), y = std::clamp(dy, -1.0, 1.0);
+    double weight = 0, moment = 0;
+    for (const double pu : {-1.0, 1.0})
+      for (const double py : {-1.0, 1.0}) {
+        const double rule = std::min(grade(u, pu), grade(y, py));
+        weight += rule;
+        moment += rule * (py < 0 ? pu : -pu);  // latency fell: the same way again; it rose: the other way
+      }
+    RC_ASSERT(std::abs(fuzzyStep(du, dy) - moment / weight) < 1e-9);
+  });
+  EXPECT_TRUE(held);
+}
+
+}  // namespace
+}  // namespace rainhook
