--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -89,6 +89,7 @@
     ended_ *= keep;
   }
   void end(double amount) { ended_ += amount; }
+  double ended() const { return ended_; }
   // Time spent for each unit ended, leaning on `usual` with the weight of `prior` units.
   double each(double usual, double prior) const { return (spent_ + usual * prior) / (ended_ + prior); }
 
@@ -103,6 +104,8 @@
     for (const auto& terms : handlers) rows_.push_back({seconds(terms.responseTarget) * firstGuess});
   }
   void pass(double secs, int onCore, int calling) {
+    errors_.fade(secs, halfLife, 0);
+    runs_.fade(secs, halfLife, 0);
     cores_.fade(secs, halfLife, onCore);
     calls_.fade(secs, halfLife, calling);
     for (auto& row : rows_) row.least *= 1 + secs * leastAges;
@@ -114,6 +117,12 @@
     row.core += (seconds(onCore) - row.core) / (row.seen + 1);
     row.calls += (calls - row.calls) / row.seen;
   }
+  void ended(bool errored) {
+    runs_.end(1);
+    if (errored) errors_.end(1);
+  }
+  // Share of late runs that errored, little believed while they are few.
+  double errored() const { return errors_.ended() / (runs_.ended() + 3); }
   void called(Span took) {
     calls_.end(1);
     callsSeen_ = std::min(callsSeen_ + 1, 200.0);
@@ -137,7 +146,7 @@
   };
   static constexpr double firstGuess = 0.1, halfLife = 1.5, leastAges = 0.02;
   std::vector<Row> rows_;
-  Meter cores_, calls_;
+  Meter cores_, calls_, runs_, errors_;
   double usualCall_ = 0, callsSeen_ = 0;
 };
 
@@ -302,10 +311,11 @@
     if (e.outcome == Outcome::moot) return gone(e.id);
     if (req->stage == Stage::calling) calls_.ended(now_, true);
     const HandlerId handler = req->read.handler;
-    if (req->stage == Stage::onCore && e.outcome != Outcome::stopped) {
+    if (e.outcome != Outcome::stopped) pace_.ended(e.outcome == Outcome::errored);
+    if (req->stage == Stage::onCore && e.outcome == Outcome::done) {
       pace_.ran(handler, now_ - req->started - req->offCore, req->calls);
       // Shed and errored reqs must not pass for low latency; time in calls is not the limit's doing.
-      if (e.outcome == Outcome::done && req->owed)
+      if (req->owed)
         climber_.answered(pace_.scaled(handler, seconds(now_ - req->arrived - req->offCore)));
     }
     if (e.outcome == Outcome::stopped && req->owed) {  // back in the hold, its work lost
@@ -502,6 +512,9 @@
     double worth = terms.value / (trade_.valueByWork ? 1 : std::max(pace_.core(req.read.handler), 1e-3));
     if (overQuota(req.read.customer)) worth *= trade_.overQuotaValue;
     meanWorth_ += (worth - meanWorth_) * (meanWorth_ == 0 ? 1 : 0.02);
+    // A server whose runs error, whatever the cause, ends them fast and so draws more: it asks to be passed by, and
+    // runs only now and then what it reads. Covers a bad release or disk; harms where the reqs themselves are at fault.
+    if (pace_.errored() > mostlyErrors && chance_.draw() < pace_.errored()) return true;
     // Its reading is paid for: what could start at once is not refused.
     if (onCore_ + static_cast<int>(hold_.size()) + 1 <= climber_.limit()) return false;
     if (voice_.signal == SignalKind::level && req.read.rank < said_) return true;
@@ -568,15 +581,18 @@
   }
   Span stayAway() const {
     if (drain_.leaving()) return voice_.longestAdvice;
-    return spanOf(seconds(voice_.longestAdvice) * pressure_.level());
+    return spanOf(seconds(voice_.longestAdvice) * strain());
+  }
+  double strain() const {
+    return std::max(pressure_.level(), pace_.errored() > mostlyErrors ? pace_.errored() : 0.0);
   }
   // Only where the trouble is not this server's own is another try elsewhere as bad.
-  bool lastTry() const { return !drain_.leaving() && pressure_.level() > 0.3 && pace_.slowness() < 1.5; }
+  bool lastTry() const { return pace_.errored() < mostlyErrors && !drain_.leaving() && pressure_.level() > 0.3 && pace_.slowness() < 1.5; }
 
   // Signals, said only when they change enough to matter.
   void speak() {
     if (voice_.signal == SignalKind::none) return;
-    const double p = drain_.leaving() ? 1.0 : pressure_.level();
+    const double p = drain_.leaving() ? 1.0 : strain();
     double value = 1 - 0.95 * p;
     if (voice_.signal == SignalKind::level) value = drain_.leaving() ? 1.0 : 0.9 * p;
     if (voice_.signal == SignalKind::credit)
@@ -619,7 +635,7 @@
   static constexpr TimerId tick_{1};
   static constexpr Span tickEvery = 25ms, dueMargin = 30ms, keepMargin = 50ms;
   static constexpr Span fullAWhile = 1s, fullFades = 500ms, quickEvery = 100ms;
-  static constexpr double idleBelow = 0.85, holdPart = 0.5;
+  static constexpr double idleBelow = 0.85, holdPart = 0.5, mostlyErrors = 0.4;
 
   Chance chance_;
   const std::vector<HandlerTerms> handlers_;
