--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -635,7 +635,7 @@
   static constexpr TimerId tick_{1};
   static constexpr Span tickEvery = 25ms, dueMargin = 30ms, keepMargin = 50ms;
   static constexpr Span fullAWhile = 1s, fullFades = 500ms, quickEvery = 100ms;
-  static constexpr double idleBelow = 0.85, holdPart = 0.5, mostlyErrors = 0.4;
+  static constexpr double idleBelow = 0.85, holdPart = 0.3, mostlyErrors = 0.4;
 
   Chance chance_;
   const std::vector<HandlerTerms> handlers_;
