--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -587,7 +587,7 @@
     return std::max(pressure_.level(), pace_.errored() > mostlyErrors ? pace_.errored() : 0.0);
   }
   // Only where the trouble is not this server's own is another try elsewhere as bad.
-  bool lastTry() const { return pace_.errored() < mostlyErrors && !drain_.leaving() && pressure_.level() > 0.1; }
+  bool lastTry() const { return pace_.errored() < mostlyErrors && !drain_.leaving() && pressure_.level() > 0.1 && pace_.slowness() < 2.5; }
 
   // Signals, said only when they change enough to matter.
   void speak() {
