--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -372,7 +372,9 @@
   void take(const TimerRang& e) {
     if (e.timer != tick_) return;
     say(SetTimer{tick_, tickEvery});
-    idle_ = e.cpu && e.wantingCore && *e.cpu < idleBelow && *e.wantingCore < cores_;
+    // Idle cores with work held: told at this moment by the gauge, against what this server has on its cores.
+    idle_ = e.cpu && e.wantingCore && *e.cpu < idleBelow && *e.wantingCore < cores_ && !hold_.empty() &&
+            onCore_ >= climber_.limit();
   }
 
   // The path of a req.
