--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -1,6 +1,7 @@
-// The decisions of one server. Callers open an instance with openDecision() and hand decide() whatever happened, batch by
-// batch; it returns what is to be done. The interface is decision.h. A req's ordinary path is Server::path(), top to
-// bottom: read, held, started under the climber's limit, calling, ended. docs/design.md tells what comes from the paper.
+// The decisions of one server. Callers open an instance with openDecision() and hand decide() whatever
+// happened, batch by batch; it returns what is to be done. The interface is decision.h. A req's ordinary path
+// is Server::path(), top to bottom: read, held, started under the climber's limit, calling, ended.
+// docs/design.md tells what comes from the paper.
 #include "decision/decision.h"
 
 #include <algorithm>
@@ -18,7 +19,9 @@
 double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
 Span spanOf(double secs) { return Span(static_cast<Span::rep>(std::clamp(secs, 0.0, 1e6) * 1e9)); }
 template <typename Id>
-std::size_t index(Id id) { return static_cast<std::size_t>(id); }
+std::size_t index(Id id) {
+  return static_cast<std::size_t>(id);
+}
 
 // PCG-XSH-RR.
 class Chance {
@@ -58,7 +61,8 @@
         asked_ = 1;  // the first step, up one core
       } else {
         const double out = fuzzyStep(asked_ * stepGain, (mean - mean_) * latencyGain) / stepGain;
-        // A step of 0 would be the last one; the least step leans to fewer reqs where the rules have no opinion.
+        // A step of 0 would be the last one; the least step leans to fewer reqs where the rules have no
+        // opinion.
         asked_ = std::abs(out) >= leastStep ? out : out > 0 ? leastStep : -leastStep;
       }
       mean_ = mean;
@@ -223,7 +227,8 @@
   std::map<ReqId, Entry> entries_;
 };
 
-// How hard the server is pressed, from the wait that a req read now would have: 0 at rest, 1 when all is too much.
+// How hard the server is pressed, from the wait that a req read now would have: 0 at rest, 1 when all is too
+// much.
 class Pressure {
  public:
   double level() const { return level_; }
@@ -268,9 +273,19 @@
   Server(Seed seed, const Machine& machine, const std::vector<HandlerTerms>& handlers,
          const std::vector<Customer>& customers, const Below& below, const Duties& duties, const Voice& voice,
          const Trade& trade, const Fleet& fleet)
-      : chance_(seed), handlers_(handlers), customers_(customers), voice_(voice), trade_(trade), fleet_(fleet),
-        cores_(machine.cores), climber_(machine.cores), pace_(handlers), guard_(machine), calls_(below),
-        drain_(duties.drainGrace), quota_(customers.size(), 1.0) {}
+      : chance_(seed),
+        handlers_(handlers),
+        customers_(customers),
+        voice_(voice),
+        trade_(trade),
+        fleet_(fleet),
+        cores_(machine.cores),
+        climber_(machine.cores),
+        pace_(handlers),
+        guard_(machine),
+        calls_(below),
+        drain_(duties.drainGrace),
+        quota_(customers.size(), 1.0) {}
 
   std::vector<Action> decide(Span now, std::span<const Event> happened) override {
     out_.clear();
@@ -315,15 +330,16 @@
     if (req->stage == Stage::onCore && e.outcome == Outcome::done) {
       pace_.ran(handler, now_ - req->started - req->offCore, req->calls);
       // Shed and errored reqs must not pass for low latency; time in calls is not the limit's doing.
-      if (req->owed)
-        climber_.answered(pace_.scaled(handler, seconds(now_ - req->arrived - req->offCore)));
+      if (req->owed) climber_.answered(pace_.scaled(handler, seconds(now_ - req->arrived - req->offCore)));
     }
     if (e.outcome == Outcome::stopped && req->owed) {  // back in the hold, its work lost
       leaveCores(*req);
       guard_.take(req->read.heldKb - guard_.runKb(req->read.heldKb));
       req->stage = Stage::held;
-      if (handlers_[index(handler)].effect == Effect::replayable) hold_.push_front(e.id);
-      else giveUp(*req);
+      if (handlers_[index(handler)].effect == Effect::replayable)
+        hold_.push_front(e.id);
+      else
+        giveUp(*req);
       return;
     }
     gone(e.id);
@@ -414,7 +430,8 @@
     std::erase_if(hold_, [this](ReqId id) { return !find(id); });
     const bool callsWait = !wants_.empty();
     for (const ReqId id : hold_)
-      if (!callsWait || pace_.calls(find(id)->read.handler) < 0.1) backlog += pace_.core(find(id)->read.handler);
+      if (!callsWait || pace_.calls(find(id)->read.handler) < 0.1)
+        backlog += pace_.core(find(id)->read.handler);
     const double width = std::max(1.0, climber_.limit());
     bool full = false;
     while (!hold_.empty() && (backlog / width > bearable() || guard_.over())) {
@@ -427,7 +444,8 @@
     if (full) lastFull_ = now_;
     if (now_ - lastFull_ > fullFades) fullSince_ = now_;
 
-    // Started: while the limit, the crowd and the memory allow; newest first once the hold has stood full a while.
+    // Started: while the limit, the crowd and the memory allow; newest first once the hold has stood full a
+    // while.
     const bool newestFirst = now_ - fullSince_ > fullAWhile;
     std::vector<ReqId> waitForCalls;
     while (!hold_.empty()) {
@@ -459,8 +477,10 @@
       say(Start{id});
     }
 
-    if (newestFirst) hold_.insert(hold_.end(), waitForCalls.rbegin(), waitForCalls.rend());
-    else hold_.insert(hold_.begin(), waitForCalls.begin(), waitForCalls.end());
+    if (newestFirst)
+      hold_.insert(hold_.end(), waitForCalls.rbegin(), waitForCalls.rend());
+    else
+      hold_.insert(hold_.begin(), waitForCalls.begin(), waitForCalls.end());
 
     // At a call: made within the cap, skipped where that earns something, given up where it comes too late.
     for (const ReqId id : std::exchange(wants_, {})) {
@@ -514,8 +534,9 @@
     double worth = terms.value / (trade_.valueByWork ? 1 : std::max(pace_.core(req.read.handler), 1e-3));
     if (overQuota(req.read.customer)) worth *= trade_.overQuotaValue;
     meanWorth_ += (worth - meanWorth_) * (meanWorth_ == 0 ? 1 : 0.02);
-    // A server whose runs error, whatever the cause, ends them fast and so draws more: it asks to be passed by, and
-    // runs only now and then what it reads. Covers a bad release or disk; harms where the reqs themselves are at fault.
+    // A server whose runs error, whatever the cause, ends them fast and so draws more: it asks to be passed
+    // by, and runs only now and then what it reads. Covers a bad release or disk; harms where the reqs
+    // themselves are at fault.
     if (pace_.errored() > mostlyErrors && chance_.draw() < pace_.errored()) return true;
     // Its reading is paid for: what could start at once is not refused.
     if (onCore_ + static_cast<int>(hold_.size()) + 1 <= climber_.limit()) return false;
@@ -554,7 +575,8 @@
                         req.read.subject != SubjectId{};
     if (!uniqued && !shares) return true;
     if (!guard_.fits(guard_.keyKb())) return !uniqued;
-    const Span keepFor = uniqued ? req.arrived + terms.window + keepMargin - now_ : trade_.shareFor + terms.responseTarget;
+    const Span keepFor =
+        uniqued ? req.arrived + terms.window + keepMargin - now_ : trade_.shareFor + terms.responseTarget;
     guard_.take(guard_.keyKb());
     repeats_.keep(req.read.id, {now_ + keepFor, false, uniqued});
     say(Keep{req.read.id, keepFor});
@@ -570,8 +592,10 @@
   void giveUp(Req& req, bool forBelow = false) {
     const ReqId id = req.read.id;
     const bool replayable = handlers_[index(req.read.handler)].effect == Effect::replayable;
-    if (replayable || (!req.ran && !req.reuses)) say(Shed{id, forBelow ? Span{} : stayAway(), forBelow || lastTry()});
-    else say(Fail{id});
+    if (replayable || (!req.ran && !req.reuses))
+      say(Shed{id, forBelow ? Span{} : stayAway(), forBelow || lastTry()});
+    else
+      say(Fail{id});
     req.owed = false;
     if (req.stage == Stage::onCore) return stopIfUseless(req);
     if (req.stage == Stage::wanting || req.stage == Stage::calling) return;
@@ -579,7 +603,8 @@
     gone(id);
   }
   void stopIfUseless(const Req& req) {
-    if (guard_.mayStop() && handlers_[index(req.read.handler)].effect == Effect::replayable) say(Stop{req.read.id});
+    if (guard_.mayStop() && handlers_[index(req.read.handler)].effect == Effect::replayable)
+      say(Stop{req.read.id});
   }
   Span stayAway() const {
     if (drain_.leaving()) return voice_.longestAdvice;
@@ -589,7 +614,10 @@
     return std::max(pressure_.level(), pace_.errored() > mostlyErrors ? pace_.errored() : 0.0);
   }
   // Only where the trouble is not this server's own is another try elsewhere as bad.
-  bool lastTry() const { return pace_.errored() < mostlyErrors && !drain_.leaving() && pressure_.level() > 0.1 && pace_.slowness() < 2.5; }
+  bool lastTry() const {
+    return pace_.errored() < mostlyErrors && !drain_.leaving() && pressure_.level() > 0.1 &&
+           pace_.slowness() < 2.5;
+  }
 
   // Signals, said only when they change enough to matter.
   void speak() {
@@ -607,7 +635,8 @@
     say(SaySignal{value});
   }
 
-  // The wait that the hold may stand for: a part of the time that reqs have to spare, by the handler with least.
+  // The wait that the hold may stand for: a part of the time that reqs have to spare, by the handler with
+  // least.
   double bearable() const {
     double least = 1e9;
     for (std::size_t i = 0; i < handlers_.size(); ++i) {
@@ -674,7 +703,8 @@
   return (more - fewer) / (more + fewer);
 }
 
-std::unique_ptr<Decision> openDecision(Seed seed, const Machine& machine, const std::vector<HandlerTerms>& handlers,
+std::unique_ptr<Decision> openDecision(Seed seed, const Machine& machine,
+                                       const std::vector<HandlerTerms>& handlers,
                                        const std::vector<Customer>& customers, const Below& below,
                                        const Duties& duties, const Voice& voice, const Trade& trade,
                                        const Fleet& fleet) {
