--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -126,6 +126,39 @@
   EXPECT_TRUE(runWithCall(20ms));
 }
 
+// Runs that end at once with an error make a server look free: it must pass on most of what it reads.
+TEST(Pressure, AServerWhoseRunsErrorShedsMostAndRunsAFew) {
+  World w;
+  w.open();
+  int started = 0;
+  for (int i = 0; i < 100; ++i) {
+    const ReqId id = w.arrive();
+    w.pass(0ms);
+    if (w.reqs.at(id).where == Where::running) ++started, w.end(id, Outcome::errored);
+    w.pass(5ms);
+  }
+  EXPECT_LT(started, 40);
+  EXPECT_GT(started, 5);
+}
+
+// Where all are full another try only costs another reading; where this server alone is slow it may help.
+TEST(Pressure, AsksForNoOtherTryUnlessTheTroubleIsItsOwn) {
+  World w;
+  w.open();
+  const auto shedUnderLoad = [&] {
+    bool last = false;
+    for (int i = 0; i < 40; ++i) w.arrive();
+    w.pass(0ms);
+    for (const auto& action : w.last)
+      if (const auto* shed = std::get_if<Shed>(&action)) last = shed->lastTry;
+    return last;
+  };
+  busyFor(w, 3s, 50ms, 40);
+  EXPECT_TRUE(shedUnderLoad());
+  w.pass(4s);  // its cores stand still
+  EXPECT_FALSE(shedUnderLoad());
+}
+
 TEST(Drain, NothingRunsAfterTheGraceAndAllIsAnsweredBeforeTheStop) {
   World w;
   w.open();
