--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -508,10 +508,16 @@
 
     // Due: whatever is still owed is answered before its time, running or not.
     std::vector<ReqId> over;
-    for (const auto& [id, req] : reqs_)
-      if (req.owed && std::min(req.due, drain_.stop() - tickEvery) - now_ <= dueMargin) over.push_back(id);
+    for (const auto& [id, req] : reqs_) {
+      // A run past its target that can earn nothing any more, and can be stopped, only keeps others from the cores.
+      const bool worthless = req.stage == Stage::onCore && now_ > req.target && guard_.mayStop() &&
+                             handlers_[index(req.read.handler)].lateValue <= 0 &&
+                             handlers_[index(req.read.handler)].effect == Effect::replayable;
+      const Span last = std::min(req.due, drain_.stop() - tickEvery);
+      if (req.owed && (worthless || last - now_ <= dueMargin)) over.push_back(id);
+    }
     std::sort(over.begin(), over.end());
-    for (const ReqId id : over) giveUp(*find(id));
+    for (const ReqId id : over) giveUp(*find(id), now_ > find(id)->target);
     std::erase_if(hold_, [this](ReqId id) { return !find(id); });
 
     pressure_.feel(secs, backlog / width + std::max(0.0, unread_ - 2 * leastUnread_), bearable());
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -159,6 +159,20 @@
   EXPECT_FALSE(shedUnderLoad());
 }
 
+// A run past its target earns nothing: it is stopped where that is allowed, its req shed without another try.
+TEST(Hold, ARunPastItsTargetIsStoppedWhereLateEarnsNothing) {
+  World w;
+  w.machine.halting = Halting::drop;
+  w.open();
+  const ReqId id = w.arrive();
+  w.pass(980ms);
+  EXPECT_EQ(w.reqs.at(id).where, Where::running);
+  w.pass(60ms);
+  EXPECT_EQ(w.reqs.at(id).where, Where::over);
+  EXPECT_EQ(w.reqs.at(id).shedAnswers, 1);
+  EXPECT_EQ(w.count(Where::running), 0);
+}
+
 TEST(Drain, NothingRunsAfterTheGraceAndAllIsAnsweredBeforeTheStop) {
   World w;
   w.open();
