--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -509,7 +509,7 @@
     // Due: whatever is still owed is answered before its time, running or not.
     std::vector<ReqId> over;
     for (const auto& [id, req] : reqs_) {
-      // A run past its target that can earn nothing any more, and can be stopped, only keeps others from the cores.
+      // A run past its target that can earn nothing more and can be stopped only keeps others from the cores.
       const bool worthless = req.stage == Stage::onCore && now_ > req.target && guard_.mayStop() &&
                              handlers_[index(req.read.handler)].lateValue <= 0 &&
                              handlers_[index(req.read.handler)].effect == Effect::replayable;
