--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -136,6 +136,7 @@
   double core(HandlerId id) const { return rows_[index(id)].core * slowness(); }
   double call() const { return calls_.each(usualCall_, 1); }
   double calls(HandlerId id) const { return rows_[index(id)].calls; }
+  bool callsOut(HandlerId id) const { return calls(id) >= 0.1; }
   double below(HandlerId id) const { return calls(id) * call(); }
   // Latency over the handler's least; the least ages upward so that it can be forgotten.
   double scaled(HandlerId id, double latency) {
@@ -210,7 +211,7 @@
  public:
   struct Entry {
     Span until{};
-    bool ran = false, uniqued = false;
+    bool ran = false;
   };
   Entry* find(ReqId id) {
     const auto it = entries_.find(id);
@@ -334,9 +335,10 @@
     }
     if (e.outcome == Outcome::stopped && req->owed) {  // back in the hold, its work lost
       leaveCores(*req);
+      --started_;
       guard_.take(req->read.heldKb - guard_.runKb(req->read.heldKb));
       req->stage = Stage::held;
-      if (handlers_[index(handler)].effect == Effect::replayable)
+      if (replayable(*req))
         hold_.push_front(e.id);
       else
         giveUp(*req);
@@ -412,10 +414,10 @@
     }
 
     // Held: what can't be done in time any more is shed, then the hold is cut from its oldest end.
-    std::erase_if(hold_, [this](ReqId id) { return !find(id); });
+    dropGone();
     for (const ReqId id : std::vector<ReqId>(hold_.begin(), hold_.end()))
       if (tooLate(*find(id))) giveUp(*find(id));
-    std::erase_if(hold_, [this](ReqId id) { return !find(id); });
+    dropGone();
     double backlog = 0, callsAhead = static_cast<double>(wants_.size());
     for (const ReqId id : hold_) callsAhead += pace_.calls(find(id)->read.handler);
     // Calls waiting for room: what calls is shed first, and the calls are what it counts by, not the cores.
@@ -423,14 +425,14 @@
       Req& req = *find(id);
       const double calls = pace_.calls(req.read.handler);
       if (callsAhead * pace_.call() / calls_.width() <= bearable()) break;
-      if (calls < 0.1) continue;
+      if (!pace_.callsOut(req.read.handler)) continue;
       callsAhead -= calls;
       giveUp(req, true);
     }
-    std::erase_if(hold_, [this](ReqId id) { return !find(id); });
+    dropGone();
     const bool callsWait = !wants_.empty();
     for (const ReqId id : hold_)
-      if (!callsWait || pace_.calls(find(id)->read.handler) < 0.1)
+      if (!callsWait || !pace_.callsOut(find(id)->read.handler))
         backlog += pace_.core(find(id)->read.handler);
     const double width = std::max(1.0, climber_.limit());
     bool full = false;
@@ -464,7 +466,7 @@
       const double moreKb = guard_.runKb(req.read.heldKb) - req.read.heldKb;
       if (!guard_.fits(moreKb)) break;
       newestFirst ? hold_.pop_back() : hold_.pop_front();
-      if (callsWait && pace_.calls(req.read.handler) >= 0.1) {  // its run would only stand waiting for a call
+      if (callsWait && pace_.callsOut(req.read.handler)) {  // its run would only stand waiting for a call
         waitForCalls.push_back(id);
         continue;
       }
@@ -510,15 +512,14 @@
     std::vector<ReqId> over;
     for (const auto& [id, req] : reqs_) {
       // A run past its target that can earn nothing more and can be stopped only keeps others from the cores.
-      const bool worthless = req.stage == Stage::onCore && now_ > req.target && guard_.mayStop() &&
-                             handlers_[index(req.read.handler)].lateValue <= 0 &&
-                             handlers_[index(req.read.handler)].effect == Effect::replayable;
+      const bool worthless = req.stage == Stage::onCore && now_ > req.target && mayStop(req) &&
+                             handlers_[index(req.read.handler)].lateValue <= 0;
       const Span last = std::min(req.due, drain_.stop() - tickEvery);
       if (req.owed && (worthless || last - now_ <= dueMargin)) over.push_back(id);
     }
     std::sort(over.begin(), over.end());
     for (const ReqId id : over) giveUp(*find(id), now_ > find(id)->target);
-    std::erase_if(hold_, [this](ReqId id) { return !find(id); });
+    dropGone();
 
     pressure_.feel(secs, backlog / width + std::max(0.0, unread_ - 2 * leastUnread_), bearable());
     leastUnread_ *= 1 + 0.02 * secs;
@@ -543,7 +544,7 @@
     // A server whose runs error, whatever the cause, ends them fast and so draws more: it asks to be passed
     // by, and runs only now and then what it reads. Covers a bad release or disk; harms where the reqs
     // themselves are at fault.
-    if (pace_.errored() > mostlyErrors && chance_.draw() < pace_.errored()) return true;
+    if (erring() > 0 && chance_.draw() < erring()) return true;
     // Its reading is paid for: what could start at once is not refused.
     if (onCore_ + static_cast<int>(hold_.size()) + 1 <= climber_.limit()) return false;
     if (voice_.signal == SignalKind::level && req.read.rank < said_) return true;
@@ -584,7 +585,7 @@
     const Span keepFor =
         uniqued ? req.arrived + terms.window + keepMargin - now_ : trade_.shareFor + terms.responseTarget;
     guard_.take(guard_.keyKb());
-    repeats_.keep(req.read.id, {now_ + keepFor, false, uniqued});
+    repeats_.keep(req.read.id, {now_ + keepFor});
     say(Keep{req.read.id, keepFor});
     return true;
   }
@@ -597,8 +598,7 @@
   // Answers a req for good. What has run, or repeats one that has, is never said to have not run.
   void giveUp(Req& req, bool forBelow = false) {
     const ReqId id = req.read.id;
-    const bool replayable = handlers_[index(req.read.handler)].effect == Effect::replayable;
-    if (replayable || (!req.ran && !req.reuses))
+    if (replayable(req) || (!req.ran && !req.reuses))
       say(Shed{id, forBelow ? Span{} : stayAway(), forBelow || lastTry()});
     else
       say(Fail{id});
@@ -609,20 +609,21 @@
     gone(id);
   }
   void stopIfUseless(const Req& req) {
-    if (guard_.mayStop() && handlers_[index(req.read.handler)].effect == Effect::replayable)
-      say(Stop{req.read.id});
+    if (mayStop(req)) say(Stop{req.read.id});
   }
+  bool replayable(const Req& req) const {
+    return handlers_[index(req.read.handler)].effect == Effect::replayable;
+  }
+  bool mayStop(const Req& req) const { return guard_.mayStop() && replayable(req); }
   Span stayAway() const {
     if (drain_.leaving()) return voice_.longestAdvice;
     return spanOf(seconds(voice_.longestAdvice) * strain());
   }
-  double strain() const {
-    return std::max(pressure_.level(), pace_.errored() > mostlyErrors ? pace_.errored() : 0.0);
-  }
+  double erring() const { return pace_.errored() > mostlyErrors ? pace_.errored() : 0.0; }
+  double strain() const { return std::max(pressure_.level(), erring()); }
   // Only where the trouble is not this server's own is another try elsewhere as bad.
   bool lastTry() const {
-    return pace_.errored() < mostlyErrors && !drain_.leaving() && pressure_.level() > 0.1 &&
-           pace_.slowness() < 2.5;
+    return erring() == 0 && !drain_.leaving() && pressure_.level() > 0.1 && pace_.slowness() < 2.5;
   }
 
   // Signals, said only when they change enough to matter.
@@ -656,6 +657,9 @@
     const auto it = reqs_.find(id);
     return it == reqs_.end() ? nullptr : &it->second;
   }
+  void dropGone() {
+    std::erase_if(hold_, [this](ReqId id) { return !find(id); });
+  }
   void leaveCores(const Req& req) {
     if (req.stage == Stage::onCore) --onCore_;
   }
