Start before the hold is cut; close idle connections after half a second

Now what can start is started first, and only the work ahead of the newest held req counts. The first change also covers long reqs on any machine; it could harm where starting a stale req oldest first keeps a fresher one waiting (the too-late check before it guards against that).

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -298,6 +298,7 @@
     if (!opened_) {
       opened_ = true;
       say(SayHealth{true, true});
+      say(CloseIdleAfter{idleFor});
       say(SetTimer{tick_, tickEvery});
     }
     for (const auto& event : happened) std::visit([this](const auto& e) { take(e); }, event);
@@ -418,7 +419,7 @@
     for (const ReqId id : std::vector<ReqId>(hold_.begin(), hold_.end()))
       if (tooLate(*find(id))) giveUp(*find(id));
     dropGone();
-    double backlog = 0, callsAhead = static_cast<double>(wants_.size());
+    double callsAhead = static_cast<double>(wants_.size());
     for (const ReqId id : hold_) callsAhead += pace_.calls(find(id)->read.handler);
     // Calls waiting for room: what calls is shed first, and the calls are what it counts by, not the cores.
     for (const ReqId id : std::vector<ReqId>(hold_.begin(), hold_.end())) {
@@ -431,21 +432,6 @@
     }
     dropGone();
     const bool callsWait = !wants_.empty();
-    for (const ReqId id : hold_)
-      if (!callsWait || !pace_.callsOut(find(id)->read.handler))
-        backlog += pace_.core(find(id)->read.handler);
-    const double width = std::max(1.0, climber_.limit());
-    bool full = false;
-    while (!hold_.empty() && (backlog / width > bearable() || guard_.over())) {
-      Req& oldest = *find(hold_.front());
-      backlog -= pace_.core(oldest.read.handler);
-      hold_.pop_front();
-      giveUp(oldest);
-      full = true;
-    }
-    if (full) lastFull_ = now_;
-    if (now_ - lastFull_ > fullFades) fullSince_ = now_;
-
     // Started: while the limit, the crowd and the memory allow; newest first once the hold has stood full a
     // while.
     const bool newestFirst = now_ - fullSince_ > fullAWhile;
@@ -484,6 +470,23 @@
     else
       hold_.insert(hold_.begin(), waitForCalls.begin(), waitForCalls.end());
 
+    // Cut from the oldest end: the newest held req is not to wait longer than is bearable for what is ahead of it.
+    double ahead = 0;
+    for (const ReqId id : hold_)
+      if (!callsWait || !pace_.callsOut(find(id)->read.handler)) ahead += pace_.core(find(id)->read.handler);
+    if (!hold_.empty()) ahead -= pace_.core(find(hold_.back())->read.handler);
+    const double width = std::max(1.0, climber_.limit());
+    bool full = false;
+    while (!hold_.empty() && (ahead / width > bearable() || guard_.over())) {
+      Req& oldest = *find(hold_.front());
+      ahead -= pace_.core(oldest.read.handler);
+      hold_.pop_front();
+      giveUp(oldest);
+      full = true;
+    }
+    if (full) lastFull_ = now_;
+    if (now_ - lastFull_ > fullFades) fullSince_ = now_;
+
     // At a call: made within the cap, skipped where that earns something, given up where it comes too late.
     for (const ReqId id : std::exchange(wants_, {})) {
       Req* req = find(id);
@@ -521,7 +524,7 @@
     for (const ReqId id : over) giveUp(*find(id), now_ > find(id)->target);
     dropGone();
 
-    pressure_.feel(secs, backlog / width + std::max(0.0, unread_ - 2 * leastUnread_), bearable());
+    pressure_.feel(secs, std::max(0.0, ahead) / width + std::max(0.0, unread_ - 2 * leastUnread_), bearable());
     leastUnread_ *= 1 + 0.02 * secs;
     speak();
   }
@@ -675,6 +678,7 @@
 
   static constexpr TimerId tick_{1};
   static constexpr Span tickEvery = 25ms, dueMargin = 30ms, keepMargin = 50ms;
+  static constexpr Span idleFor = 500ms;
   static constexpr Span fullAWhile = 1s, fullFades = 500ms, quickEvery = 100ms;
   static constexpr double idleBelow = 0.85, holdPart = 0.3, mostlyErrors = 0.4;
 
