Climber waits for ten answers a core; sheds tell of a full fleet; idle connections trimmed

Harms where this server alone has far less than its peers and does not know it. - Connections: idle ones are closed the sooner the more stand open (six a core). The loops over the hold are folded into one that sheds and one that starts.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -52,11 +52,12 @@
   void cap(double ceiling) { limit_ = std::clamp(limit_, floor_, std::max(floor_, ceiling)); }
 
   void step(Span now, double ceiling) {
-    if (now < next_) return;
+    // An interval ends once enough answers tell of it; it teaches only if the limit held something back in
+    // it.
+    if (now < next_ || answers_ < 10 * floor_) return;
     next_ = now + interval;
-    // An interval with few answers, or in which the limit held nothing back, tells nothing about the limit.
-    if (answers_ >= floor_ && binding_) {
-      const double mean = sum_ / answers_;
+    const double mean = sum_ / answers_;
+    if (binding_) {
       if (mean_ == 0) {
         asked_ = 1;  // the first step, up one core
       } else {
@@ -309,7 +310,6 @@
     if (!opened_) {
       opened_ = true;
       say(SayHealth{true, true});
-      say(CloseIdleAfter{idleFor});
       say(SetTimer{tick_, tickEvery});
     }
     for (const auto& event : happened) std::visit([this](const auto& e) { take(e); }, event);
@@ -326,6 +326,7 @@
     req.due = std::max(now_, e.patience ? now_ + *e.patience : req.arrived + terms.clientTimeout);
     const Span stretch = spanOf(terms.targetStretch * pace_.core(e.handler));
     req.target = std::min(req.arrived + terms.responseTarget + stretch, req.due);
+    shed_ -= 0.05 * shed_;
     guard_.take(e.heldKb);
     reqs_.insert_or_assign(e.id, req);
     fresh_.push_back(e.id);
@@ -402,11 +403,24 @@
   void take(const TimerRang& e) {
     if (e.timer != tick_) return;
     say(SetTimer{tick_, tickEvery});
+    if (e.connections) trimConnections(*e.connections);
     // Idle cores with work held: told at this moment by the gauge, against what this server has on its cores.
     idle_ = e.cpu && e.wantingCore && *e.cpu < idleBelow && *e.wantingCore < cores_ && !hold_.empty() &&
             onCore_ >= climber_.limit();
   }
 
+  // Open connections take from the cores, a full table turns callers away and a new one costs work, none of
+  // it told: idle ones are closed the sooner the more stand open. Covers many callers and few that open many;
+  // harms where a connection costs far more to open than to keep.
+  void trimConnections(double open) {
+    if (now_ < nextTrim_) return;
+    nextTrim_ = now_ + 1s;
+    const double factor = open > connectionsPerCore * cores_ ? 0.5 : 1.25;
+    const Span idle = std::clamp(spanOf(seconds(idleFor_) * factor), shortestIdle,
+                                 std::max(shortestIdle, fleet_.longestIdle));
+    if (idle != idleFor_) say(CloseIdleAfter{idleFor_ = idle});
+  }
+
   // The path of a req.
   void path(double secs) {
     const double ceiling = guard_.crowd(now_);
@@ -425,48 +439,37 @@
       hold_.push_back(id);
     }
 
-    // Held: what can't be done in time any more is shed, then the hold is cut from its oldest end.
-    dropGone();
-    for (const ReqId id : std::vector<ReqId>(hold_.begin(), hold_.end()))
-      if (tooLate(*find(id))) giveUp(*find(id));
+    // Held: what can't be done in time any more is shed, and so is what would wait too long for room at a
+    // call.
     dropGone();
     double callsAhead = static_cast<double>(wants_.size());
     for (const ReqId id : hold_) callsAhead += pace_.calls(find(id)->read.handler);
-    // Calls waiting for room: what calls is shed first, and the calls are what it counts by, not the cores.
     for (const ReqId id : std::vector<ReqId>(hold_.begin(), hold_.end())) {
       Req& req = *find(id);
-      const double calls = pace_.calls(req.read.handler);
-      if (callsAhead * pace_.call() / calls_.width() <= bearable()) break;
-      if (!pace_.callsOut(req.read.handler)) continue;
-      callsAhead -= calls;
-      giveUp(req, true);
+      const bool forBelow =
+          pace_.callsOut(req.read.handler) && callsAhead * pace_.call() / calls_.width() > bearable();
+      if (!forBelow && !tooLate(req)) continue;
+      callsAhead -= pace_.calls(req.read.handler);
+      giveUp(req, forBelow);
     }
     dropGone();
-    const bool callsWait = !wants_.empty();
+
     // Started: while the limit, the crowd and the memory allow; newest first once the hold has stood full a
-    // while.
-    const bool newestFirst = now_ - fullSince_ > fullAWhile;
-    std::vector<ReqId> waitForCalls;
-    while (!hold_.empty()) {
+    // while. While calls wait for room, a run that calls would only stand waiting: it stays held.
+    const bool callsWait = !wants_.empty();
+    std::vector<ReqId> order(hold_.begin(), hold_.end());
+    if (now_ - fullSince_ > fullAWhile) std::reverse(order.begin(), order.end());
+    for (const ReqId id : order) {
+      Req& req = *find(id);
+      if (callsWait && pace_.callsOut(req.read.handler)) continue;
       if (onCore_ + 1 > climber_.limit()) {
         climber_.heldBack();
-        if (idle_ && now_ >= nextQuick_) {
-          nextQuick_ = now_ + quickEvery;
-          climber_.climbQuickly(ceiling);
-          continue;
-        }
-        break;
+        if (!idle_ || now_ < nextQuick_) break;
+        nextQuick_ = now_ + quickEvery;
+        climber_.climbQuickly(ceiling);
       }
-      if (started_ + 1 > ceiling) break;
-      const ReqId id = newestFirst ? hold_.back() : hold_.front();
-      Req& req = *find(id);
       const double moreKb = guard_.runKb(req.read.heldKb) - req.read.heldKb;
-      if (!guard_.fits(moreKb)) break;
-      newestFirst ? hold_.pop_back() : hold_.pop_front();
-      if (callsWait && pace_.callsOut(req.read.handler)) {  // its run would only stand waiting for a call
-        waitForCalls.push_back(id);
-        continue;
-      }
+      if (started_ + 1 > ceiling || !guard_.fits(moreKb)) break;
       guard_.take(moreKb);
       req.stage = Stage::onCore;
       req.ran = true;
@@ -475,11 +478,7 @@
       ++onCore_, ++started_;
       say(Start{id});
     }
-
-    if (newestFirst)
-      hold_.insert(hold_.end(), waitForCalls.rbegin(), waitForCalls.rend());
-    else
-      hold_.insert(hold_.begin(), waitForCalls.begin(), waitForCalls.end());
+    dropGone();
 
     // Cut from the oldest end: the newest held req is not to wait longer than is bearable for what is ahead
     // of it.
@@ -603,6 +602,7 @@
   // Answers a req for good. What has run, or repeats one that has, is never said to have not run.
   void giveUp(Req& req, bool forBelow = false) {
     const ReqId id = req.read.id;
+    if (!forBelow) shed_ += 0.05;
     if (replayable(req) || (!req.ran && !req.reuses))
       say(Shed{id, forBelow ? Span{} : stayAway(), forBelow || lastTry()});
     else
@@ -628,7 +628,8 @@
   double strain() const { return std::max(pressure_.level(), erring()); }
   // Only where the trouble is not this server's own is another try elsewhere as bad.
   bool lastTry() const {
-    return erring() == 0 && !drain_.leaving() && pressure_.level() > 0.1 && pace_.slowness() < 2.5;
+    return erring() == 0 && !drain_.leaving() && (pressure_.level() > 0.1 || shed_ > shedsMany) &&
+           pace_.slowness() < 2.5;
   }
 
   // Signals, said only when they change enough to matter.
@@ -663,7 +664,7 @@
     return it == reqs_.end() ? nullptr : &it->second;
   }
   void dropGone() {
-    std::erase_if(hold_, [this](ReqId id) { return !find(id); });
+    std::erase_if(hold_, [this](ReqId id) { return !find(id) || find(id)->stage != Stage::held; });
   }
   void leaveCores(const Req& req) {
     if (req.stage == Stage::onCore) --onCore_;
@@ -680,9 +681,10 @@
 
   static constexpr TimerId tick_{1};
   static constexpr Span tickEvery = 25ms, dueMargin = 30ms, keepMargin = 50ms;
-  static constexpr Span idleFor = 500ms;
+  static constexpr double connectionsPerCore = 6;
+  static constexpr Span shortestIdle = 100ms;
   static constexpr Span fullAWhile = 1s, fullFades = 500ms, quickEvery = 100ms;
-  static constexpr double idleBelow = 0.85, holdPart = 0.3, mostlyErrors = 0.4;
+  static constexpr double idleBelow = 0.85, holdPart = 0.3, mostlyErrors = 0.4, shedsMany = 0.4;
 
   Chance chance_;
   const std::vector<HandlerTerms> handlers_;
@@ -701,8 +703,9 @@
   std::deque<ReqId> hold_;
   std::vector<ReqId> fresh_, wants_;
   std::vector<Action> out_;
-  Span now_{}, lastFull_ = -1s, fullSince_{}, nextQuick_{};
+  Span now_{}, lastFull_ = -1s, fullSince_{}, nextQuick_{}, nextTrim_{}, idleFor_ = 2s;
   int onCore_ = 0, started_ = 0;
+  double shed_ = 0;
   double unread_ = 0, leastUnread_ = 1, meanWorth_ = 0, said_ = 0;
   bool opened_ = false, saidOnce_ = false, idle_ = false;
 };
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -83,6 +83,7 @@
 struct Fleet {
   int servers = 1;
   int callers = 1;
+  Span longestIdle = std::chrono::seconds(1);  // callers close connections idle for longer
 };
 
 // Events.
--- a/src/simhost/facts.cpp
+++ b/src/simhost/facts.cpp
@@ -164,6 +164,7 @@
   out.trade.shareFor = facts.span("domain.freshNs");
   out.fleet.servers = std::max(1, facts.count("servers", 1));
   out.fleet.callers = std::max(1, facts.count("domain.callers", 1));
+  if (const auto idle = facts.span("domain.keepaliveMaxNs"); idle > idle.zero()) out.fleet.longestIdle = idle;
   out.tellsPatience = facts.yes("domain.passesDeadline");
   for (const auto name : facts.list("domain.gauges"))
     out.gauges.push_back(name == "cpu_busy"   ? Gauge::cpu
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -38,6 +38,14 @@
   EXPECT_EQ(w.count(Where::running), w.machine.cores);  // no opinion leans to fewer reqs
 }
 
+// Two answers an interval are noise: the limit stands still until enough have come.
+TEST(Climber, FewAnswersTeachNothing) {
+  World w;
+  w.open();
+  busyFor(w, 1900ms, 200ms, 2);
+  EXPECT_EQ(w.count(Where::running), w.machine.cores);
+}
+
 TEST(Climber, ClimbsQuicklyOnlyWhileCoresIdle) {
   World w;
   w.cpu = 0.3;  // the mean lags: by itself it does not say that a core is free now
@@ -203,6 +211,38 @@
   EXPECT_EQ(w.count(Where::running), 0);
 }
 
+// Hundreds of callers fill a table whose size nobody tells.
+TEST(Pressure, ClosesIdleConnectionsTheSoonerTheMoreStandOpen) {
+  World w;
+  w.fleet.longestIdle = 30s;
+  w.open();
+  w.pass(20s);
+  EXPECT_EQ(w.closesIdle, 30s);
+  w.connections = 100;
+  w.pass(10s);
+  EXPECT_LE(w.closesIdle, 100ms);
+}
+
+// A hold of one or two reqs feels no pressure, whatever is shed: the sheds themselves must tell.
+TEST(Pressure, ManyShedsAskForNoOtherTryHoweverShortTheHold) {
+  World w;
+  w.open();
+  busyFor(w, 2s, 300ms, 1);
+  const auto lastTries = [&] {
+    int n = 0;
+    for (const auto& action : w.last)
+      if (const auto* shed = std::get_if<Shed>(&action)) n += shed->lastTry;
+    return n;
+  };
+  int first = 0, later = 0;
+  for (int i = 0; i < 40; ++i) {
+    w.arrive(0, 2s, 950ms), w.pass(0ms);  // read too late to be of use
+    (i < 5 ? first : later) += lastTries();
+  }
+  EXPECT_EQ(first, 0);
+  EXPECT_GT(later, 25);
+}
+
 TEST(Drain, NothingRunsAfterTheGraceAndAllIsAnsweredBeforeTheStop) {
   World w;
   w.open();
--- a/tests/world.h
+++ b/tests/world.h
@@ -51,7 +51,8 @@
   std::vector<std::string> broken;
   std::unique_ptr<Decision> module;
   Span now{}, told = Span::max(), stop = Span::max();
-  double cpu = 1, wanting = 100;
+  double cpu = 1, wanting = 100, connections = 0;
+  Span closesIdle{};
   std::uint32_t ids = 0;
 
   void open() {
@@ -191,6 +192,8 @@
       const auto first = req.read.repeats ? reqs.find(*req.read.repeats) : reqs.end();
       req.where = Where::waiting;
       if (first != reqs.end() && first->second.where == Where::over) end(echo->id, Outcome::done);
+    } else if (const auto* idle = std::get_if<CloseIdleAfter>(&action)) {
+      closesIdle = idle->idle;
     } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
       timers.emplace(now + timer->in, timer->timer);
     }
@@ -209,7 +212,7 @@
       callLoad.emplace_back(now, inHand * std::chrono::duration<double>(now - then).count());
       while (!callLoad.empty() && callLoad.front().first <= now - below.callShareSpan) callLoad.pop_front();
       while (!timers.empty() && timers.begin()->first <= now) {
-        next.push_back(TimerRang{timers.begin()->second, cpu, wanting, {}, {}});
+        next.push_back(TimerRang{timers.begin()->second, cpu, wanting, {}, connections});
         timers.erase(timers.begin());
       }
       const auto batch = std::exchange(next, {});
