--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -115,12 +115,13 @@
     calls_.fade(secs, halfLife, calling);
     for (auto& row : rows_) row.least *= 1 + secs * leastAges;
   }
-  void ran(HandlerId id, Span onCore, int calls) {
-    Row& row = rows_[index(id)];
-    cores_.end(row.core);
+  void ran(const ReqRead& read, Span onCore, int calls) {
+    Row& row = rows_[index(read.handler)];
+    cores_.end(row.core * size(read));
     row.seen = std::min(row.seen + 1, 50.0);
     row.core += (seconds(onCore) - row.core) / (row.seen + 1);
     row.calls += (calls - row.calls) / row.seen;
+    if (read.workHint) row.hint += (seconds(*read.workHint) - row.hint) / row.seen;
   }
   void ended(bool errored) {
     runs_.end(1);
@@ -135,6 +136,12 @@
   }
   double slowness() const { return cores_.each(1, 0.5); }
   double core(HandlerId id) const { return rows_[index(id)].core * slowness(); }
+  // A req's own work over its handler's mean, where it came with a hint.
+  double size(const ReqRead& read) const {
+    const double usual = rows_[index(read.handler)].hint;
+    return read.workHint && usual > 0 ? seconds(*read.workHint) / usual : 1;
+  }
+  double core(const ReqRead& read) const { return core(read.handler) * size(read); }
   double callSlowness() const { return usualCall_ > 0 ? call() / usualCall_ : 1; }
   double call() const { return calls_.each(usualCall_, 1); }
   double calls(HandlerId id) const { return rows_[index(id)].calls; }
@@ -149,7 +156,7 @@
 
  private:
   struct Row {
-    double core = 0, calls = 0, seen = 0, least = 0;
+    double core = 0, calls = 0, seen = 0, least = 0, hint = 0;
   };
   static constexpr double firstGuess = 0.1, halfLife = 1.5, leastAges = 0.02;
   std::vector<Row> rows_;
@@ -324,7 +331,7 @@
     Req req{.read = e};
     req.arrived = now_ - e.unread;
     req.due = std::max(now_, e.patience ? now_ + *e.patience : req.arrived + terms.clientTimeout);
-    const Span stretch = spanOf(terms.targetStretch * pace_.core(e.handler));
+    const Span stretch = spanOf(terms.targetStretch * pace_.core(e));
     req.target = std::min(req.arrived + terms.responseTarget + stretch, req.due);
     shed_ -= 0.05 * shed_;
     guard_.take(e.heldKb);
@@ -342,7 +349,7 @@
     const HandlerId handler = req->read.handler;
     if (e.outcome != Outcome::stopped) pace_.ended(e.outcome == Outcome::errored);
     if (req->stage == Stage::onCore && e.outcome == Outcome::done) {
-      pace_.ran(handler, now_ - req->started - req->offCore, req->calls);
+      pace_.ran(req->read, now_ - req->started - req->offCore, req->calls);
       // Shed and errored reqs must not pass for low latency; time in calls is not the limit's doing.
       if (req->owed) climber_.answered(pace_.scaled(handler, seconds(now_ - req->arrived - req->offCore)));
     }
@@ -431,7 +438,7 @@
     for (const ReqId id : std::exchange(fresh_, {})) {
       Req* req = find(id);
       if (!req || joinsFirst(*req)) continue;
-      if (!drain_.mayRun(req->arrived) || tooLate(*req) || refusedUnderPressure(*req) || !keepMark(*req)) {
+      if (!drain_.mayRun(req->arrived) || tooLate(*req) || refusedForErrors() || !keepMark(*req)) {
         giveUp(*req);
         continue;
       }
@@ -484,13 +491,13 @@
     // of it.
     double ahead = 0;
     for (const ReqId id : hold_)
-      if (!callsWait || !pace_.callsOut(find(id)->read.handler)) ahead += pace_.core(find(id)->read.handler);
-    if (!hold_.empty()) ahead -= pace_.core(find(hold_.back())->read.handler);
+      if (!callsWait || !pace_.callsOut(find(id)->read.handler)) ahead += pace_.core(find(id)->read);
+    if (!hold_.empty()) ahead -= pace_.core(find(hold_.back())->read);
     const double width = std::max(1.0, climber_.limit());
     bool full = false;
     while (!hold_.empty() && (ahead / width > bearable() || guard_.over())) {
       Req& oldest = *find(hold_.front());
-      ahead -= pace_.core(oldest.read.handler);
+      ahead -= pace_.core(oldest.read);
       hold_.pop_front();
       giveUp(oldest);
       full = true;
@@ -541,30 +548,20 @@
     speak();
   }
 
-  // Not in time even if it ran at once: judged by what runs and calls take here now.
+  // Not in time even if it ran at once: judged by what runs and calls take here now. Where little is turned
+  // away a doubtful one is tried, and one that still earns when late.
   bool tooLate(const Req& req) const {
     const HandlerTerms& terms = handlers_[index(req.read.handler)];
-    const Span takes = spanOf(pace_.core(req.read.handler) + pace_.below(req.read.handler));
+    const bool pressed = pressure_.level() > 0 || shed_ > shedsFew;
+    const Span takes = spanOf((pressed ? 1 : doubt) * pace_.core(req.read) + pace_.below(req.read.handler));
     if (now_ + takes <= req.target) return false;
-    const bool lateEarns = terms.lateValue > 0 && pressure_.level() <= 0 && now_ + takes <= req.due;
-    return !lateEarns;
+    return pressed || terms.lateValue <= 0 || now_ + takes > req.due;
   }
 
-  // Under pressure reqs are refused by chance, the more likely the less they are worth for the work.
-  bool refusedUnderPressure(const Req& req) {
-    const HandlerTerms& terms = handlers_[index(req.read.handler)];
-    double worth = terms.value / (trade_.valueByWork ? 1 : std::max(pace_.core(req.read.handler), 1e-3));
-    meanWorth_ += (worth - meanWorth_) * (meanWorth_ == 0 ? 1 : 0.02);
-    // A server whose runs error, whatever the cause, ends them fast and so draws more: it asks to be passed
-    // by, and runs only now and then what it reads. Covers a bad release or disk; harms where the reqs
-    // themselves are at fault.
-    if (erring() > 0 && chance_.draw() < erring()) return true;
-    // Its reading is paid for: what could start at once is not refused.
-    if (onCore_ + static_cast<int>(hold_.size()) + 1 <= climber_.limit()) return false;
-    if (voice_.signal == SignalKind::level && req.read.rank < said_) return true;
-    const double odds = pressure_.level() * std::min(4.0, meanWorth_ / std::max(worth, 1e-9));
-    return pressure_.level() > 0 && chance_.draw() < odds;
-  }
+  // A server whose runs error, whatever the cause, ends them fast and so draws more: it asks to be passed by,
+  // and runs only now and then what it reads. Covers a bad release or disk; harms where the reqs are at
+  // fault.
+  bool refusedForErrors() { return erring() > 0 && chance_.draw() < erring(); }
 
   // A repeat of a uniqued req that may have run, or of a read under way, waits for its first.
   bool joinsFirst(Req& req) {
@@ -684,7 +681,8 @@
   static constexpr double connectionsPerCore = 6;
   static constexpr Span shortestIdle = 100ms;
   static constexpr Span fullAWhile = 1s, fullFades = 500ms, quickEvery = 100ms;
-  static constexpr double idleBelow = 0.85, holdPart = 0.3, mostlyErrors = 0.4, shedsMany = 0.4;
+  static constexpr double idleBelow = 0.85, holdPart = 0.3, mostlyErrors = 0.4, shedsMany = 0.4,
+                          shedsFew = 0.1, doubt = 0.5;
 
   Chance chance_;
   const std::vector<HandlerTerms> handlers_;
@@ -706,7 +704,7 @@
   Span now_{}, lastFull_ = -1s, fullSince_{}, nextQuick_{}, nextTrim_{}, idleFor_ = 2s;
   int onCore_ = 0, started_ = 0;
   double shed_ = 0;
-  double unread_ = 0, leastUnread_ = 1, meanWorth_ = 0, said_ = 0;
+  double unread_ = 0, leastUnread_ = 1, said_ = 0;
   bool opened_ = false, saidOnce_ = false, idle_ = false;
 };
 
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -66,6 +66,28 @@
   EXPECT_EQ(w.reqs.at(late).shedAnswers, 1);
 }
 
+// A rough hint of a req's work: what is far longer than its handler's mean is not begun where much is turned
+// away.
+TEST(Hold, AHintOfMuchWorkTellsWhatComesTooLate) {
+  World w;
+  w.open();
+  const auto hinted = [&](Span work, Span patience) {
+    const ReqId id = w.arrive(0, patience);
+    std::get<ReqRead>(w.next.back()).workHint = work;
+    w.pass(0ms);
+    return w.reqs.at(id).where;
+  };
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(hinted(100ms, 3s), Where::running);
+    w.pass(200ms), w.end(w.in(Where::running).front()), w.pass(5ms);
+  }
+  EXPECT_EQ(hinted(700ms, 3s), Where::running);  // doubtful, but little is turned away
+  w.pass(950ms), w.end(w.in(Where::running).front()), w.pass(5ms);
+  for (int i = 0; i < 20; ++i) hinted(100ms, 20ms);
+  EXPECT_EQ(hinted(700ms, 3s), Where::over);
+  EXPECT_EQ(hinted(100ms, 3s), Where::running);
+}
+
 TEST(Hold, IsCutFromItsOldestEnd) {
   World w;
   w.open();
