--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -622,7 +622,7 @@
     return spanOf(seconds(voice_.longestAdvice) * strain());
   }
   double erring() const { return pace_.errored() > mostlyErrors ? pace_.errored() : 0.0; }
-  double strain() const { return std::max(pressure_.level(), erring()); }
+  double strain() const { return std::max({pressure_.level(), erring(), std::min(shed_, 1.0)}); }
   // Only where the trouble is not this server's own is another try elsewhere as bad.
   bool lastTry() const {
     return erring() == 0 && !drain_.leaving() && (pressure_.level() > 0.1 || shed_ > shedsMany) &&
