--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -623,10 +623,10 @@
   }
   double erring() const { return pace_.errored() > mostlyErrors ? pace_.errored() : 0.0; }
   double strain() const { return std::max({pressure_.level(), erring(), std::min(shed_, 1.0)}); }
-  // Only where the trouble is not this server's own is another try elsewhere as bad.
+  // Other tries are as bad where all are full; a slow server can't tell its own trouble from a storm of
+  // reading and connections that its sheds feed, so only one that errs or leaves lets them go on.
   bool lastTry() const {
-    return erring() == 0 && !drain_.leaving() && (pressure_.level() > 0.1 || shed_ > shedsMany) &&
-           pace_.slowness() < 2.5;
+    return erring() == 0 && !drain_.leaving() && (pressure_.level() > 0.1 || shed_ > shedsMany);
   }
 
   // Signals, said only when they change enough to matter.
