--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -410,6 +410,7 @@
   void take(const TimerRang& e) {
     if (e.timer != tick_) return;
     say(SetTimer{tick_, tickEvery});
+    if (e.wantingCore) notRuns_ += (*e.wantingCore - onCore_ - notRuns_) * 0.02;
     if (e.connections) trimConnections(*e.connections);
     // Idle cores with work held: told at this moment by the gauge, against what this server has on its cores.
     idle_ = e.cpu && e.wantingCore && *e.cpu < idleBelow && *e.wantingCore < cores_ && !hold_.empty() &&
@@ -417,12 +418,14 @@
   }
 
   // Open connections take from the cores, a full table turns callers away and a new one costs work, none of
-  // it told: idle ones are closed the sooner the more stand open. Covers many callers and few that open many;
-  // harms where a connection costs far more to open than to keep.
+  // it told: idle ones are closed the sooner the more stand open. In a storm of reading and connecting they
+  // stay open: opening them anew feeds it, and a full table keeps it out for nothing. Covers many callers and
+  // few that open many; harms where a connection costs far more to open than to keep.
   void trimConnections(double open) {
     if (now_ < nextTrim_) return;
     nextTrim_ = now_ + 1s;
-    const double factor = open > connectionsPerCore * cores_ ? 0.5 : 1.25;
+    const bool storm = notRuns_ > stormPerCore * cores_;
+    const double factor = storm ? 2 : open > connectionsPerCore * cores_ ? 0.5 : 1.25;
     const Span idle = std::clamp(spanOf(seconds(idleFor_) * factor), shortestIdle,
                                  std::max(shortestIdle, fleet_.longestIdle));
     if (idle != idleFor_) say(CloseIdleAfter{idleFor_ = idle});
@@ -678,7 +681,7 @@
 
   static constexpr TimerId tick_{1};
   static constexpr Span tickEvery = 25ms, dueMargin = 30ms, keepMargin = 50ms;
-  static constexpr double connectionsPerCore = 6;
+  static constexpr double connectionsPerCore = 6, stormPerCore = 1;
   static constexpr Span shortestIdle = 100ms;
   static constexpr Span fullAWhile = 1s, fullFades = 500ms, quickEvery = 100ms;
   static constexpr double idleBelow = 0.85, holdPart = 0.3, mostlyErrors = 0.4, shedsMany = 0.4,
@@ -704,6 +707,7 @@
   Span now_{}, lastFull_ = -1s, fullSince_{}, nextQuick_{}, nextTrim_{}, idleFor_ = 2s;
   int onCore_ = 0, started_ = 0;
   double shed_ = 0;
+  double notRuns_ = 0;  // what wants a core of late and is no run: reading, connecting
   double unread_ = 0, leastUnread_ = 1, said_ = 0;
   bool opened_ = false, saidOnce_ = false, idle_ = false;
 };
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -238,12 +238,16 @@
 TEST(Pressure, ClosesIdleConnectionsTheSoonerTheMoreStandOpen) {
   World w;
   w.fleet.longestIdle = 30s;
+  w.wanting = 1;
   w.open();
   w.pass(20s);
   EXPECT_EQ(w.closesIdle, 30s);
-  w.connections = 100;
+  w.connections = 100, w.wanting = 1;
   w.pass(10s);
   EXPECT_LE(w.closesIdle, 100ms);
+  w.wanting = 9;  // a storm of reading and connecting, which closing would feed
+  w.pass(12s);
+  EXPECT_EQ(w.closesIdle, 30s);
 }
 
 // A hold of one or two reqs feels no pressure, whatever is shed: the sheds themselves must tell.
