Remove the sheds of a server whose runs error; the share shed is part of Pressure

A server whose runs error looks free and draws more; callers that avoid what fails do better than its own sheds did.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -23,22 +23,6 @@
   return static_cast<std::size_t>(id);
 }
 
-// PCG-XSH-RR.
-class Chance {
- public:
-  explicit Chance(Seed seed) : state_(static_cast<std::uint64_t>(seed) * 2 + 1) { draw(); }
-  double draw() {
-    const std::uint64_t old = state_;
-    state_ = old * 6364136223846793005u + 1442695040888963407u;
-    const auto mixed = static_cast<std::uint32_t>(((old >> 18u) ^ old) >> 27u);
-    const auto turn = static_cast<std::uint32_t>(old >> 59u);
-    return ((mixed >> turn) | (mixed << ((32u - turn) & 31u))) * 0x1p-32;
-  }
-
- private:
-  std::uint64_t state_;
-};
-
 // The four rules with their accumulator: the limit on reqs on the cores.
 class Climber {
  public:
@@ -94,7 +78,6 @@
     ended_ *= keep;
   }
   void end(double amount) { ended_ += amount; }
-  double ended() const { return ended_; }
   // Time spent for each unit ended, leaning on `usual` with the weight of `prior` units.
   double each(double usual, double prior) const { return (spent_ + usual * prior) / (ended_ + prior); }
 
@@ -109,8 +92,6 @@
     for (const auto& terms : handlers) rows_.push_back({seconds(terms.responseTarget) * firstGuess});
   }
   void pass(double secs, int onCore, int calling) {
-    errors_.fade(secs, halfLife, 0);
-    runs_.fade(secs, halfLife, 0);
     cores_.fade(secs, halfLife, onCore);
     calls_.fade(secs, halfLife, calling);
     for (auto& row : rows_) row.least *= 1 + secs * leastAges;
@@ -123,12 +104,6 @@
     row.calls += (calls - row.calls) / row.seen;
     if (read.workHint) row.hint += (seconds(*read.workHint) - row.hint) / row.seen;
   }
-  void ended(bool errored) {
-    runs_.end(1);
-    if (errored) errors_.end(1);
-  }
-  // Share of late runs that errored, little believed while they are few.
-  double errored() const { return errors_.ended() / (runs_.ended() + 3); }
   void called(Span took) {
     calls_.end(1);
     callsSeen_ = std::min(callsSeen_ + 1, 200.0);
@@ -160,7 +135,7 @@
   };
   static constexpr double firstGuess = 0.1, halfLife = 1.5, leastAges = 0.02;
   std::vector<Row> rows_;
-  Meter cores_, calls_, runs_, errors_;
+  Meter cores_, calls_;
   double usualCall_ = 0, callsSeen_ = 0;
 };
 
@@ -250,19 +225,24 @@
   std::map<ReqId, Entry> entries_;
 };
 
-// How hard the server is pressed, from the wait that a req read now would have: 0 at rest, 1 when all is too
-// much.
+// How hard the server is pressed: from the wait that a req read now would have, 0 at rest, 1 when all is too
+// much, and from the share of late reqs that it shed, which tells where a hold of one or two feels nothing.
 class Pressure {
  public:
-  double level() const { return level_; }
   void feel(double secs, double wait, double bearable) {
     const double strain = wait / std::max(bearable, 1e-3) - ease;
     level_ = std::clamp(level_ + secs * (strain > 0 ? std::min(strain, 2.0) * rise : -fall), 0.0, 1.0);
   }
+  void read() { sheds_ -= sheds_ / lately; }
+  void shed() { sheds_ += 1 / lately; }
+  bool some() const { return level_ > 0 || sheds_ > fewSheds; }
+  bool much() const { return level_ > 0.1 || sheds_ > manySheds; }
+  double strain() const { return std::max(level_, std::min(sheds_, 1.0)); }
 
  private:
   static constexpr double ease = 0.5, rise = 0.8, fall = 0.3;
-  double level_ = 0;
+  static constexpr double lately = 20, fewSheds = 0.1, manySheds = 0.4;
+  double level_ = 0, sheds_ = 0;
 };
 
 // The notice to leave, and what may still run after it.
@@ -293,10 +273,9 @@
 
 class Server final : public Decision {
  public:
-  Server(Seed seed, const Machine& machine, const std::vector<HandlerTerms>& handlers, const Below& below,
+  Server(const Machine& machine, const std::vector<HandlerTerms>& handlers, const Below& below,
          const Duties& duties, const Voice& voice, const Trade& trade, const Fleet& fleet)
-      : chance_(seed),
-        handlers_(handlers),
+      : handlers_(handlers),
         voice_(voice),
         trade_(trade),
         fleet_(fleet),
@@ -333,7 +312,7 @@
     req.due = std::max(now_, e.patience ? now_ + *e.patience : req.arrived + terms.clientTimeout);
     const Span stretch = spanOf(terms.targetStretch * pace_.core(e));
     req.target = std::min(req.arrived + terms.responseTarget + stretch, req.due);
-    shed_ -= 0.05 * shed_;
+    pressure_.read();
     guard_.take(e.heldKb);
     reqs_.insert_or_assign(e.id, req);
     fresh_.push_back(e.id);
@@ -347,7 +326,6 @@
     if (e.outcome == Outcome::moot) return gone(e.id);
     if (req->stage == Stage::calling) calls_.ended(now_, true);
     const HandlerId handler = req->read.handler;
-    if (e.outcome != Outcome::stopped) pace_.ended(e.outcome == Outcome::errored);
     if (req->stage == Stage::onCore && e.outcome == Outcome::done) {
       pace_.ran(req->read, now_ - req->started - req->offCore, req->calls);
       // Shed and errored reqs must not pass for low latency; time in calls is not the limit's doing.
@@ -441,7 +419,7 @@
     for (const ReqId id : std::exchange(fresh_, {})) {
       Req* req = find(id);
       if (!req || joinsFirst(*req)) continue;
-      if (!drain_.mayRun(req->arrived) || tooLate(*req) || refusedForErrors() || !keepMark(*req)) {
+      if (!drain_.mayRun(req->arrived) || tooLate(*req) || !keepMark(*req)) {
         giveUp(*req);
         continue;
       }
@@ -555,17 +533,12 @@
   // away a doubtful one is tried, and one that still earns when late.
   bool tooLate(const Req& req) const {
     const HandlerTerms& terms = handlers_[index(req.read.handler)];
-    const bool pressed = pressure_.level() > 0 || shed_ > shedsFew;
+    const bool pressed = pressure_.some();
     const Span takes = spanOf((pressed ? 1 : doubt) * pace_.core(req.read) + pace_.below(req.read.handler));
     if (now_ + takes <= req.target) return false;
     return pressed || terms.lateValue <= 0 || now_ + takes > req.due;
   }
 
-  // A server whose runs error, whatever the cause, ends them fast and so draws more: it asks to be passed by,
-  // and runs only now and then what it reads. Covers a bad release or disk; harms where the reqs are at
-  // fault.
-  bool refusedForErrors() { return erring() > 0 && chance_.draw() < erring(); }
-
   // A repeat of a uniqued req that may have run, or of a read under way, waits for its first.
   bool joinsFirst(Req& req) {
     if (!req.read.repeats) return false;
@@ -602,7 +575,7 @@
   // Answers a req for good. What has run, or repeats one that has, is never said to have not run.
   void giveUp(Req& req, bool forBelow = false) {
     const ReqId id = req.read.id;
-    if (!forBelow) shed_ += 0.05;
+    if (!forBelow) pressure_.shed();
     if (replayable(req) || (!req.ran && !req.reuses))
       say(Shed{id, forBelow ? Span{} : stayAway(), forBelow || lastTry()});
     else
@@ -622,20 +595,16 @@
   bool mayStop(const Req& req) const { return guard_.mayStop() && replayable(req); }
   Span stayAway() const {
     if (drain_.leaving()) return voice_.longestAdvice;
-    return spanOf(seconds(voice_.longestAdvice) * strain());
+    return spanOf(seconds(voice_.longestAdvice) * pressure_.strain());
   }
-  double erring() const { return pace_.errored() > mostlyErrors ? pace_.errored() : 0.0; }
-  double strain() const { return std::max({pressure_.level(), erring(), std::min(shed_, 1.0)}); }
   // Other tries are as bad where all are full; a slow server can't tell its own trouble from a storm of
-  // reading and connections that its sheds feed, so only one that errs or leaves lets them go on.
-  bool lastTry() const {
-    return erring() == 0 && !drain_.leaving() && (pressure_.level() > 0.1 || shed_ > shedsMany);
-  }
+  // reading and connections that its sheds feed, so only one that leaves lets them go on.
+  bool lastTry() const { return !drain_.leaving() && pressure_.much(); }
 
   // Signals, said only when they change enough to matter.
   void speak() {
     if (voice_.signal == SignalKind::none) return;
-    const double p = drain_.leaving() ? 1.0 : strain();
+    const double p = drain_.leaving() ? 1.0 : pressure_.strain();
     double value = 1 - 0.95 * p;
     if (voice_.signal == SignalKind::level) value = drain_.leaving() ? 1.0 : 0.9 * p;
     if (voice_.signal == SignalKind::credit)
@@ -684,10 +653,8 @@
   static constexpr double connectionsPerCore = 6, stormPerCore = 1;
   static constexpr Span shortestIdle = 100ms;
   static constexpr Span fullAWhile = 1s, fullFades = 500ms, quickEvery = 100ms;
-  static constexpr double idleBelow = 0.85, holdPart = 0.3, mostlyErrors = 0.4, shedsMany = 0.4,
-                          shedsFew = 0.1, doubt = 0.5;
+  static constexpr double idleBelow = 0.85, holdPart = 0.3, doubt = 0.5;
 
-  Chance chance_;
   const std::vector<HandlerTerms> handlers_;
   const Voice voice_;
   const Trade trade_;
@@ -706,7 +673,6 @@
   std::vector<Action> out_;
   Span now_{}, lastFull_ = -1s, fullSince_{}, nextQuick_{}, nextTrim_{}, idleFor_ = 2s;
   int onCore_ = 0, started_ = 0;
-  double shed_ = 0;
   double notRuns_ = 0;  // what wants a core of late and is no run: reading, connecting
   double unread_ = 0, leastUnread_ = 1, said_ = 0;
   bool opened_ = false, saidOnce_ = false, idle_ = false;
@@ -722,11 +688,11 @@
   return (more - fewer) / (more + fewer);
 }
 
-std::unique_ptr<Decision> openDecision(Seed seed, const Machine& machine,
+std::unique_ptr<Decision> openDecision(Seed, const Machine& machine,
                                        const std::vector<HandlerTerms>& handlers, const Below& below,
                                        const Duties& duties, const Voice& voice, const Trade& trade,
                                        const Fleet& fleet) {
-  return std::make_unique<Server>(seed, machine, handlers, below, duties, voice, trade, fleet);
+  return std::make_unique<Server>(machine, handlers, below, duties, voice, trade, fleet);
 }
 
 }  // namespace rainhook
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -190,6 +190,7 @@
   virtual std::vector<Action> decide(Span now, std::span<const Event> happened) = 0;
 };
 
+// The seed is there for decisions by chance; none is left to chance now.
 std::unique_ptr<Decision> openDecision(Seed seed, const Machine& machine,
                                        const std::vector<HandlerTerms>& handlers, const Below& below,
                                        const Duties& duties, const Voice& voice, const Trade& trade,
