--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -225,6 +225,42 @@
   std::map<ReqId, Entry> entries_;
 };
 
+// Reqs read and not started. Starts are oldest first, newest first once the hold has stood full a while.
+class Hold {
+ public:
+  bool empty() const { return ids_.empty(); }
+  std::size_t size() const { return ids_.size(); }
+  auto begin() const { return ids_.begin(); }
+  auto end() const { return ids_.end(); }
+  ReqId newest() const { return ids_.back(); }
+  void add(ReqId id) { ids_.push_back(id); }
+  void putBack(ReqId id) { ids_.push_front(id); }
+  ReqId takeOldest() {
+    const ReqId id = ids_.front();
+    ids_.pop_front();
+    return id;
+  }
+  template <typename Stays>
+  void keepOnly(Stays stays) {
+    std::erase_if(ids_, [&](ReqId id) { return !stays(id); });
+  }
+  std::vector<ReqId> oldestFirst() const { return {ids_.begin(), ids_.end()}; }
+  std::vector<ReqId> inOrderOfStart(Span now) const {
+    std::vector<ReqId> order = oldestFirst();
+    if (now - fullSince_ > fullAWhile) std::reverse(order.begin(), order.end());
+    return order;
+  }
+  void stood(Span now, bool full) {
+    if (full) lastFull_ = now;
+    if (now - lastFull_ > fullFades) fullSince_ = now;
+  }
+
+ private:
+  static constexpr Span fullAWhile = 1s, fullFades = 500ms;
+  std::deque<ReqId> ids_;  // a req leaves when it starts or is answered
+  Span lastFull_ = -1s, fullSince_{};
+};
+
 // How hard the server is pressed: from the wait that a req read now would have, 0 at rest, 1 when all is too
 // much, and from the share of late reqs that it shed, which tells where a hold of one or two feels nothing.
 class Pressure {
@@ -337,7 +373,7 @@
       guard_.take(req->read.heldKb - guard_.runKb(req->read.heldKb));
       req->stage = Stage::held;
       if (replayable(*req))
-        hold_.push_front(e.id);
+        hold_.putBack(e.id);
       else
         giveUp(*req);
       return;
@@ -424,7 +460,7 @@
         continue;
       }
       req->stage = Stage::held;
-      hold_.push_back(id);
+      hold_.add(id);
     }
 
     // Held: what can't be done in time any more is shed, and so is what would wait too long for room at a
@@ -432,7 +468,7 @@
     dropGone();
     double callsAhead = static_cast<double>(wants_.size());
     for (const ReqId id : hold_) callsAhead += pace_.calls(find(id)->read.handler);
-    for (const ReqId id : std::vector<ReqId>(hold_.begin(), hold_.end())) {
+    for (const ReqId id : hold_.oldestFirst()) {
       Req& req = *find(id);
       const bool forBelow =
           pace_.callsOut(req.read.handler) && callsAhead * pace_.call() / calls_.width() > bearable();
@@ -445,9 +481,7 @@
     // Started: while the limit, the crowd and the memory allow; newest first once the hold has stood full a
     // while. While calls wait for room, a run that calls would only stand waiting: it stays held.
     const bool callsWait = !wants_.empty();
-    std::vector<ReqId> order(hold_.begin(), hold_.end());
-    if (now_ - fullSince_ > fullAWhile) std::reverse(order.begin(), order.end());
-    for (const ReqId id : order) {
+    for (const ReqId id : hold_.inOrderOfStart(now_)) {
       Req& req = *find(id);
       if (callsWait && pace_.callsOut(req.read.handler)) continue;
       if (onCore_ + 1 > climber_.limit()) {
@@ -473,18 +507,16 @@
     double ahead = 0;
     for (const ReqId id : hold_)
       if (!callsWait || !pace_.callsOut(find(id)->read.handler)) ahead += pace_.core(find(id)->read);
-    if (!hold_.empty()) ahead -= pace_.core(find(hold_.back())->read);
+    if (!hold_.empty()) ahead -= pace_.core(find(hold_.newest())->read);
     const double width = std::max(1.0, climber_.limit());
     bool full = false;
     while (!hold_.empty() && (ahead / width > bearable() || guard_.over())) {
-      Req& oldest = *find(hold_.front());
+      Req& oldest = *find(hold_.takeOldest());
       ahead -= pace_.core(oldest.read);
-      hold_.pop_front();
       giveUp(oldest);
       full = true;
     }
-    if (full) lastFull_ = now_;
-    if (now_ - lastFull_ > fullFades) fullSince_ = now_;
+    hold_.stood(now_, full);
 
     // At a call: made within the cap, skipped where that earns something, given up where it comes too late.
     for (const ReqId id : std::exchange(wants_, {})) {
@@ -633,7 +665,7 @@
     return it == reqs_.end() ? nullptr : &it->second;
   }
   void dropGone() {
-    std::erase_if(hold_, [this](ReqId id) { return !find(id) || find(id)->stage != Stage::held; });
+    hold_.keepOnly([this](ReqId id) { return find(id) && find(id)->stage == Stage::held; });
   }
   void leaveCores(const Req& req) {
     if (req.stage == Stage::onCore) --onCore_;
@@ -652,7 +684,7 @@
   static constexpr Span tickEvery = 25ms, dueMargin = 30ms, keepMargin = 50ms;
   static constexpr double connectionsPerCore = 6, stormPerCore = 1;
   static constexpr Span shortestIdle = 100ms;
-  static constexpr Span fullAWhile = 1s, fullFades = 500ms, quickEvery = 100ms;
+  static constexpr Span quickEvery = 100ms;
   static constexpr double idleBelow = 0.85, holdPart = 0.3, doubt = 0.5;
 
   const std::vector<HandlerTerms> handlers_;
@@ -668,10 +700,10 @@
   Pressure pressure_;
   Drain drain_;
   std::unordered_map<ReqId, Req> reqs_;  // a req leaves when its answer and its run have both ended
-  std::deque<ReqId> hold_;
+  Hold hold_;
   std::vector<ReqId> fresh_, wants_;
   std::vector<Action> out_;
-  Span now_{}, lastFull_ = -1s, fullSince_{}, nextQuick_{}, nextTrim_{}, idleFor_ = 2s;
+  Span now_{}, nextQuick_{}, nextTrim_{}, idleFor_ = 2s;
   int onCore_ = 0, started_ = 0;
   double notRuns_ = 0;  // what wants a core of late and is no run: reading, connecting
   double unread_ = 0, leastUnread_ = 1, said_ = 0;
