--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -5,10 +5,10 @@
 #include "decision/decision.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <deque>
 #include <map>
-#include <unordered_map>
 #include <utility>
 
 namespace rainhook {
@@ -35,10 +35,9 @@
   void climbQuickly(double ceiling) { limit_ = std::min(ceiling, limit_ + 1); }
   void cap(double ceiling) { limit_ = std::clamp(limit_, floor_, std::max(floor_, ceiling)); }
 
-  void step(Span now, double ceiling) {
-    // An interval ends once enough answers tell of it; it teaches only if the limit held something back in
-    // it.
-    if (now < next_ || answers_ < 10 * floor_) return;
+  void step(Span now) {
+    // An interval lasts until enough answers tell of it; it teaches only if the limit held something back.
+    if (now < next_ || answers_ < answersPerCore * floor_) return;
     next_ = now + interval;
     const double mean = sum_ / answers_;
     if (binding_) {
@@ -46,13 +45,11 @@
         asked_ = 1;  // the first step, up one core
       } else {
         const double out = fuzzyStep(asked_ * stepGain, (mean - mean_) * latencyGain) / stepGain;
-        // A step of 0 would be the last one; the least step leans to fewer reqs where the rules have no
-        // opinion.
+        // A step of 0 would be the last one; with no opinion the least step leans to fewer reqs.
         asked_ = std::abs(out) >= leastStep ? out : out > 0 ? leastStep : -leastStep;
       }
       mean_ = mean;
       limit_ += asked_;
-      cap(ceiling);
     }
     sum_ = 0, answers_ = 0, binding_ = false;
   }
@@ -61,7 +58,7 @@
   static constexpr Span interval = 1s;
   static constexpr double stepGain = 1.0 / 2;     // a step of two reqs counts fully
   static constexpr double latencyGain = 1.0 / 2;  // so does a change by twice the least latency
-  static constexpr double leastStep = 0.25;
+  static constexpr double leastStep = 0.25, answersPerCore = 10;
   const double floor_;
   double limit_, asked_ = 0, mean_ = 0, sum_ = 0;
   int answers_ = 0;
@@ -206,23 +203,16 @@
 // Uniqued reqs, and reads whose answer may serve others, by the id that a repeat will name.
 class Repeats {
  public:
-  struct Entry {
-    Span until{};
-    bool ran = false;
-  };
-  Entry* find(ReqId id) {
-    const auto it = entries_.find(id);
-    return it == entries_.end() ? nullptr : &it->second;
-  }
-  void keep(ReqId id, Entry entry) { entries_.insert_or_assign(id, entry); }
+  bool knows(ReqId id) const { return entries_.contains(id); }
+  void keep(ReqId id, Span until) { entries_.insert_or_assign(id, until); }
   bool drop(ReqId id) { return entries_.erase(id) > 0; }
   // Emptied by time: an entry goes when its window has passed. Returns how many went.
   int expire(Span now) {
-    return static_cast<int>(std::erase_if(entries_, [&](const auto& e) { return e.second.until <= now; }));
+    return static_cast<int>(std::erase_if(entries_, [&](const auto& e) { return e.second <= now; }));
   }
 
  private:
-  std::map<ReqId, Entry> entries_;
+  std::map<ReqId, Span> entries_;
 };
 
 // Reqs read and not started. Starts are oldest first, newest first once the hold has stood full a while.
@@ -295,6 +285,32 @@
   Span told_{}, stop_ = Span::max();
 };
 
+// How long callers wait for a try, as shares of the client timeout: habits show as values that come again and
+// again. Another value is what is left of the timeout, and tells the age of a further try.
+class Waits {
+ public:
+  Span age(Span patience, Span timeout) {
+    const double share = seconds(patience) / seconds(timeout);
+    Habit* rarest = &habits_.front();
+    bool habit = false;
+    for (auto& h : habits_) {
+      h.seen *= 0.995;
+      if (std::abs(h.share - share) < 0.003) habit = ++h.seen > 4;
+      if (h.seen < rarest->seen) rarest = &h;
+    }
+    if (!habit && rarest->seen < 0.9) *rarest = {share, 1};
+    habitual_ += ((habit ? 1.0 : 0.0) - habitual_) * 0.03;
+    return habit || habitual_ < 0.6 ? 0s : spanOf((1 - share) * seconds(timeout));
+  }
+
+ private:
+  struct Habit {
+    double share = 0, seen = 0;
+  };
+  std::array<Habit, 8> habits_;  // the rarest gives way
+  double habitual_ = 0;
+};
+
 enum class Stage { fresh, held, echoing, onCore, wanting, calling };
 
 struct Req {
@@ -347,7 +363,8 @@
     req.arrived = now_ - e.unread;
     req.due = std::max(now_, e.patience ? now_ + *e.patience : req.arrived + terms.clientTimeout);
     const Span stretch = spanOf(terms.targetStretch * pace_.core(e));
-    req.target = std::min(req.arrived + terms.responseTarget + stretch, req.due);
+    const Span age = e.patience ? waits_.age(*e.patience + e.unread, terms.clientTimeout) : 0s;
+    req.target = std::min(req.arrived + terms.responseTarget + stretch - age, req.due);
     pressure_.read();
     guard_.take(e.heldKb);
     reqs_.insert_or_assign(e.id, req);
@@ -358,8 +375,7 @@
   void take(const RunEnded& e) {
     Req* req = find(e.id);
     if (!req) return;
-    if (req->stage == Stage::echoing) return gone(e.id);
-    if (e.outcome == Outcome::moot) return gone(e.id);
+    if (req->stage == Stage::echoing || e.outcome == Outcome::moot) return gone(e.id);
     if (req->stage == Stage::calling) calls_.ended(now_, true);
     const HandlerId handler = req->read.handler;
     if (req->stage == Stage::onCore && e.outcome == Outcome::done) {
@@ -410,11 +426,7 @@
   void take(const CallerGone& e) {
     Req* req = find(e.id);
     if (!req) return;
-    req->owed = false;
-    if (req->stage == Stage::onCore) return stopIfUseless(*req);
-    if (req->stage == Stage::wanting || req->stage == Stage::calling) return;  // its run ends by itself
-    unkeep(*req);
-    gone(e.id);
+    letGo(*req);
   }
   void take(const LeaveNotice& e) {
     drain_.notice(now_, e.left);
@@ -448,8 +460,8 @@
   // The path of a req.
   void path(double secs) {
     const double ceiling = guard_.crowd(now_);
+    climber_.step(now_);
     climber_.cap(ceiling);
-    climber_.step(now_, ceiling);
 
     // Read: a repeat joins its first, one that can't be served is shed at once, the others are held.
     for (const ReqId id : std::exchange(fresh_, {})) {
@@ -496,14 +508,12 @@
       req.stage = Stage::onCore;
       req.ran = true;
       req.started = now_;
-      if (auto* entry = repeats_.find(id)) entry->ran = true;
       ++onCore_, ++started_;
       say(Start{id});
     }
     dropGone();
 
-    // Cut from the oldest end: the newest held req is not to wait longer than is bearable for what is ahead
-    // of it.
+    // Cut from the oldest end: the newest held req is not to wait longer than is bearable for those ahead.
     double ahead = 0;
     for (const ReqId id : hold_)
       if (!callsWait || !pace_.callsOut(find(id)->read.handler)) ahead += pace_.core(find(id)->read);
@@ -551,7 +561,6 @@
       const Span last = std::min(req.due, drain_.stop() - tickEvery);
       if (req.owed && (worthless || last - now_ <= dueMargin)) over.push_back(id);
     }
-    std::sort(over.begin(), over.end());
     for (const ReqId id : over) giveUp(*find(id), now_ > find(id)->target);
     dropGone();
 
@@ -575,8 +584,7 @@
   bool joinsFirst(Req& req) {
     if (!req.read.repeats) return false;
     const Effect effect = handlers_[index(req.read.handler)].effect;
-    const auto* entry = repeats_.find(*req.read.repeats);
-    if (effect != Effect::uniqued && !entry) return false;
+    if (effect != Effect::uniqued && !repeats_.knows(*req.read.repeats)) return false;
     req.reuses = true;
     req.stage = Stage::echoing;
     say(AnswerFromFirst{req.read.id});
@@ -594,7 +602,7 @@
     const Span keepFor =
         uniqued ? req.arrived + terms.window + keepMargin - now_ : trade_.shareFor + terms.responseTarget;
     guard_.take(guard_.keyKb());
-    repeats_.keep(req.read.id, {now_ + keepFor});
+    repeats_.keep(req.read.id, now_ + keepFor);
     say(Keep{req.read.id, keepFor});
     return true;
   }
@@ -612,14 +620,15 @@
       say(Shed{id, forBelow ? Span{} : stayAway(), forBelow || lastTry()});
     else
       say(Fail{id});
+    letGo(req);
+  }
+  // No answer is owed any more: what has not run is gone, a run ends by itself unless it can be stopped.
+  void letGo(Req& req) {
     req.owed = false;
-    if (req.stage == Stage::onCore) return stopIfUseless(req);
-    if (req.stage == Stage::wanting || req.stage == Stage::calling) return;
+    if (req.stage == Stage::onCore && mayStop(req)) say(Stop{req.read.id});
+    if (req.stage >= Stage::onCore) return;
     unkeep(req);
-    gone(id);
-  }
-  void stopIfUseless(const Req& req) {
-    if (mayStop(req)) say(Stop{req.read.id});
+    gone(req.read.id);
   }
   bool replayable(const Req& req) const {
     return handlers_[index(req.read.handler)].effect == Effect::replayable;
@@ -636,21 +645,17 @@
   // Signals, said only when they change enough to matter.
   void speak() {
     if (voice_.signal == SignalKind::none) return;
-    const double p = drain_.leaving() ? 1.0 : pressure_.strain();
-    double value = 1 - 0.95 * p;
-    if (voice_.signal == SignalKind::level) value = drain_.leaving() ? 1.0 : 0.9 * p;
+    const double open = drain_.leaving() ? 0 : 1 - 0.95 * pressure_.strain();
+    double value = open;
+    if (voice_.signal == SignalKind::level) value = 1 - open;
     if (voice_.signal == SignalKind::credit)
-      value = std::max(0.2, 2 * climber_.limit() / fleet_.callers * (1 - 0.9 * p));
-    if (drain_.leaving() && voice_.signal != SignalKind::level) value = 0;
-    const double step = voice_.signal == SignalKind::credit ? 0.5 : 0.03;
-    if (saidOnce_ && std::abs(value - said_) < step && (value == said_ || value > step)) return;
-    saidOnce_ = true;
+      value = open * std::max(0.2, 2 * climber_.limit() / fleet_.callers);
+    if (std::abs(value - said_) < 0.03 && (value == said_ || !drain_.leaving())) return;
     said_ = value;
     say(SaySignal{value});
   }
 
-  // The wait that the hold may stand for: a part of the time that reqs have to spare, by the handler with
-  // least.
+  // The wait that the hold may stand for: a part of the time to spare of the handler with least.
   double bearable() const {
     double least = 1e9;
     for (std::size_t i = 0; i < handlers_.size(); ++i) {
@@ -682,9 +687,8 @@
 
   static constexpr TimerId tick_{1};
   static constexpr Span tickEvery = 25ms, dueMargin = 30ms, keepMargin = 50ms;
+  static constexpr Span quickEvery = 100ms, shortestIdle = 100ms;
   static constexpr double connectionsPerCore = 6, stormPerCore = 1;
-  static constexpr Span shortestIdle = 100ms;
-  static constexpr Span quickEvery = 100ms;
   static constexpr double idleBelow = 0.85, holdPart = 0.3, doubt = 0.5;
 
   const std::vector<HandlerTerms> handlers_;
@@ -699,15 +703,16 @@
   Repeats repeats_;
   Pressure pressure_;
   Drain drain_;
-  std::unordered_map<ReqId, Req> reqs_;  // a req leaves when its answer and its run have both ended
+  std::map<ReqId, Req> reqs_;  // a req leaves when its answer and its run have both ended
   Hold hold_;
+  Waits waits_;
   std::vector<ReqId> fresh_, wants_;
   std::vector<Action> out_;
   Span now_{}, nextQuick_{}, nextTrim_{}, idleFor_ = 2s;
   int onCore_ = 0, started_ = 0;
   double notRuns_ = 0;  // what wants a core of late and is no run: reading, connecting
-  double unread_ = 0, leastUnread_ = 1, said_ = 0;
-  bool opened_ = false, saidOnce_ = false, idle_ = false;
+  double unread_ = 0, leastUnread_ = 1, said_ = -1;
+  bool opened_ = false, idle_ = false;
 };
 
 }  // namespace
