--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -377,11 +377,11 @@
     if (!req) return;
     if (req->stage == Stage::echoing || e.outcome == Outcome::moot) return gone(e.id);
     if (req->stage == Stage::calling) calls_.ended(now_, true);
-    const HandlerId handler = req->read.handler;
     if (req->stage == Stage::onCore && e.outcome == Outcome::done) {
       pace_.ran(req->read, now_ - req->started - req->offCore, req->calls);
       // Shed and errored reqs must not pass for low latency; time in calls is not the limit's doing.
-      if (req->owed) climber_.answered(pace_.scaled(handler, seconds(now_ - req->arrived - req->offCore)));
+      if (req->owed)
+        climber_.answered(pace_.scaled(req->read.handler, seconds(now_ - req->arrived - req->offCore)));
     }
     if (e.outcome == Outcome::stopped && req->owed) {  // back in the hold, its work lost
       leaveCores(*req);
@@ -434,8 +434,7 @@
     say(Note{"leaving: health withdrawn, held " + std::to_string(hold_.size())});
   }
   void take(const TimerRang& e) {
-    if (e.timer != tick_) return;
-    say(SetTimer{tick_, tickEvery});
+    if (e.timer == tick_) say(SetTimer{tick_, tickEvery});
     if (e.wantingCore) notRuns_ += (*e.wantingCore - onCore_ - notRuns_) * 0.02;
     if (e.connections) trimConnections(*e.connections);
     // Idle cores with work held: told at this moment by the gauge, against what this server has on its cores.
@@ -445,8 +444,8 @@
 
   // Open connections take from the cores, a full table turns callers away and a new one costs work, none of
   // it told: idle ones are closed the sooner the more stand open. In a storm of reading and connecting they
-  // stay open: opening them anew feeds it, and a full table keeps it out for nothing. Covers many callers and
-  // few that open many; harms where a connection costs far more to open than to keep.
+  // stay open: opening them anew feeds it, and a full table keeps it out for nothing. Harms where a
+  // connection costs far more to open than to keep.
   void trimConnections(double open) {
     if (now_ < nextTrim_) return;
     nextTrim_ = now_ + 1s;
@@ -475,8 +474,7 @@
       hold_.add(id);
     }
 
-    // Held: what can't be done in time any more is shed, and so is what would wait too long for room at a
-    // call.
+    // Held: what can't be done in time is shed, and so is what would wait too long for room at a call.
     dropGone();
     double callsAhead = static_cast<double>(wants_.size());
     for (const ReqId id : hold_) callsAhead += pace_.calls(find(id)->read.handler);
@@ -493,10 +491,14 @@
     // Started: while the limit, the crowd and the memory allow; newest first once the hold has stood full a
     // while. While calls wait for room, a run that calls would only stand waiting: it stays held.
     const bool callsWait = !wants_.empty();
+    // Reqs that stand unread can't be shed, and wait for the cores that runs share: reading gets one more.
+    // Covers slow cores and popular subjects; harms where reading is cheap but late for other reasons.
+    const double unread = std::max(0.0, unread_ - 2 * leastUnread_);
+    const double limit = std::max(1.0, climber_.limit() - (unread > unreadLong ? 1 : 0));
     for (const ReqId id : hold_.inOrderOfStart(now_)) {
       Req& req = *find(id);
       if (callsWait && pace_.callsOut(req.read.handler)) continue;
-      if (onCore_ + 1 > climber_.limit()) {
+      if (onCore_ + 1 > limit) {
         climber_.heldBack();
         if (!idle_ || now_ < nextQuick_) break;
         nextQuick_ = now_ + quickEvery;
@@ -562,10 +564,8 @@
       if (req.owed && (worthless || last - now_ <= dueMargin)) over.push_back(id);
     }
     for (const ReqId id : over) giveUp(*find(id), now_ > find(id)->target);
-    dropGone();
 
-    pressure_.feel(secs, std::max(0.0, ahead) / width + std::max(0.0, unread_ - 2 * leastUnread_),
-                   bearable());
+    pressure_.feel(secs, std::max(0.0, ahead) / width + unread, bearable());
     leastUnread_ *= 1 + 0.02 * secs;
     speak();
   }
@@ -689,7 +689,7 @@
   static constexpr Span tickEvery = 25ms, dueMargin = 30ms, keepMargin = 50ms;
   static constexpr Span quickEvery = 100ms, shortestIdle = 100ms;
   static constexpr double connectionsPerCore = 6, stormPerCore = 1;
-  static constexpr double idleBelow = 0.85, holdPart = 0.3, doubt = 0.5;
+  static constexpr double idleBelow = 0.85, holdPart = 0.3, doubt = 0.5, unreadLong = 0.3;
 
   const std::vector<HandlerTerms> handlers_;
   const Voice voice_;
