--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -67,7 +67,7 @@
 TEST(Rules, GeneratedDaysKeepAllFour) {
   const bool held = rc::check("the four rules", [] {
     World w;
-    w.machine.cores = *rc::gen::inRange(1, 4);
+    w.machine.cores = *rc::gen::inRange(1, 4), w.fleet.callers = *rc::gen::element(2, 900);
     w.machine.cold = *rc::gen::arbitrary<bool>();
     w.machine.coldSpeed = 0.2;
     w.machine.warmWithin = 4s;
