Count who is on the cores in one place; work out the bearable wait once a batch

Entering and leaving the cores was written out in five places with the time off them; the wait that the hold may stand for was worked out anew for each held req, over all handlers, in every batch.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -384,10 +384,9 @@
         climber_.answered(pace_.scaled(req->read.handler, seconds(now_ - req->arrived - req->offCore)));
     }
     if (e.outcome == Outcome::stopped && req->owed) {  // back in the hold, its work lost
-      leaveCores(*req);
+      move(*req, Stage::held);
       --started_;
       guard_.take(req->read.heldKb - guard_.runKb(req->read.heldKb));
-      req->stage = Stage::held;
       if (replayable(*req))
         hold_.putBack(e.id);
       else
@@ -399,9 +398,7 @@
   void take(const CallWanted& e) {
     Req* req = find(e.id);
     if (!req || req->stage != Stage::onCore) return;
-    leaveCores(*req);
-    req->stage = Stage::wanting;
-    req->off = now_;
+    move(*req, Stage::wanting);
     wants_.push_back(e.id);
   }
   void take(const CallEnded& e) {
@@ -411,11 +408,9 @@
     pace_.called(e.took);
     req->lastCall = e.outcome;
     if (e.outcome == Outcome::done) {
-      req->offCore += now_ - req->off;
       ++req->calls;
       req->callFailed = false;
-      req->stage = Stage::onCore;
-      ++onCore_;
+      move(*req, Stage::onCore);
     } else {
       req->stage = Stage::wanting;
       if (req->callFailed) req->calls = -1;  // failed twice
@@ -434,7 +429,8 @@
     say(Note{"leaving: health withdrawn, held " + std::to_string(hold_.size())});
   }
   void take(const TimerRang& e) {
-    if (e.timer == tick_) say(SetTimer{tick_, tickEvery});
+    if (e.timer != tick_) return;
+    say(SetTimer{tick_, tickEvery});
     if (e.wantingCore) notRuns_ += (*e.wantingCore - onCore_ - notRuns_) * 0.02;
     if (e.connections) trimConnections(*e.connections);
     // Idle cores with work held: told at this moment by the gauge, against what this server has on its cores.
@@ -458,7 +454,7 @@
 
   // The path of a req.
   void path(double secs) {
-    const double ceiling = guard_.crowd(now_);
+    const double ceiling = guard_.crowd(now_), mayWait = bearable();
     climber_.step(now_);
     climber_.cap(ceiling);
 
@@ -481,7 +477,7 @@
     for (const ReqId id : hold_.oldestFirst()) {
       Req& req = *find(id);
       const bool forBelow =
-          pace_.callsOut(req.read.handler) && callsAhead * pace_.call() / calls_.width() > bearable();
+          pace_.callsOut(req.read.handler) && callsAhead * pace_.call() / calls_.width() > mayWait;
       if (!forBelow && !tooLate(req)) continue;
       callsAhead -= pace_.calls(req.read.handler);
       giveUp(req, forBelow);
@@ -507,10 +503,10 @@
       const double moreKb = guard_.runKb(req.read.heldKb) - req.read.heldKb;
       if (started_ + 1 > ceiling || !guard_.fits(moreKb)) break;
       guard_.take(moreKb);
-      req.stage = Stage::onCore;
+      move(req, Stage::onCore);
       req.ran = true;
       req.started = now_;
-      ++onCore_, ++started_;
+      ++started_;
       say(Start{id});
     }
     dropGone();
@@ -522,7 +518,7 @@
     if (!hold_.empty()) ahead -= pace_.core(find(hold_.newest())->read);
     const double width = std::max(1.0, climber_.limit());
     bool full = false;
-    while (!hold_.empty() && (ahead / width > bearable() || guard_.over())) {
+    while (!hold_.empty() && (ahead / width > mayWait || guard_.over())) {
       Req& oldest = *find(hold_.takeOldest());
       ahead -= pace_.core(oldest.read);
       giveUp(oldest);
@@ -538,9 +534,7 @@
       const bool repeatable = terms.effect == Effect::replayable || Calls::provesNotRun(req->lastCall);
       const bool late = now_ + spanOf(pace_.call() * 1.5) > req->target;
       if (terms.skipValue > 0 && (late || req->callFailed)) {
-        req->stage = Stage::onCore;
-        req->offCore += now_ - req->off;
-        ++onCore_;
+        move(*req, Stage::onCore);
         say(SkipCall{id});
       } else if ((req->callFailed && !repeatable) || req->calls < 0 || (late && callsWait)) {
         giveUp(*req, true);
@@ -565,7 +559,7 @@
     }
     for (const ReqId id : over) giveUp(*find(id), now_ > find(id)->target);
 
-    pressure_.feel(secs, std::max(0.0, ahead) / width + unread, bearable());
+    pressure_.feel(secs, std::max(0.0, ahead) / width + unread, mayWait);
     leastUnread_ *= 1 + 0.02 * secs;
     speak();
   }
@@ -672,12 +666,16 @@
   void dropGone() {
     hold_.keepOnly([this](ReqId id) { return find(id) && find(id)->stage == Stage::held; });
   }
-  void leaveCores(const Req& req) {
-    if (req.stage == Stage::onCore) --onCore_;
+  // Counts who is on the cores, and how long each was off them at calls.
+  void move(Req& req, Stage to) {
+    if (req.stage == Stage::onCore) --onCore_, req.off = now_;
+    if (to == Stage::onCore) ++onCore_;
+    if (to == Stage::onCore && req.stage > Stage::onCore) req.offCore += now_ - req.off;
+    req.stage = to;
   }
   void gone(ReqId id) {
     const Req& req = *find(id);
-    leaveCores(req);
+    if (req.stage == Stage::onCore) --onCore_;
     const bool running = req.stage >= Stage::onCore;
     if (running) --started_;
     guard_.take(-(running ? guard_.runKb(req.read.heldKb) : req.read.heldKb));
