--- a/src/simhost/facts.cpp
+++ b/src/facts/facts.cpp
@@ -1,35 +1,20 @@
-#include "simhost/facts.h"
+#include "facts/facts.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
-#include <map>
-#include <string>
+#include <nlohmann/json.hpp>
 
-#include "simhost/wire.h"
-
-namespace simhost {
+namespace rainhook {
 namespace {
 
-using namespace rainhook;
-
 [[noreturn]] void wrong(const std::string& path, std::string_view value, const char* wanted) {
-  throw WireError("settings: " + path + " is '" + std::string(value) + "', not " + wanted);
+  throw FactsError("settings: " + path + " is '" + std::string(value) + "', not " + wanted);
 }
 
 class Pairs {
  public:
-  explicit Pairs(std::string_view text) {
-    for (std::size_t line = 1; !text.empty(); ++line) {
-      const auto end = text.find('\n');
-      const auto pair = text.substr(0, end);
-      text = end == std::string_view::npos ? std::string_view{} : text.substr(end + 1);
-      if (pair.empty()) continue;
-      const auto sign = pair.find('=');
-      if (sign == std::string_view::npos)
-        throw WireError("settings: line " + std::to_string(line) + " has no '='");
-      values_.insert_or_assign(std::string(pair.substr(0, sign)), pair.substr(sign + 1));
-    }
-  }
+  explicit Pairs(const FactPairs& pairs) : values_(pairs) {}
   std::string_view text(const std::string& path) const {
     const auto it = values_.find(path);
     return it == values_.end() ? std::string_view{} : it->second;
@@ -97,7 +82,7 @@
     if (value == "true" || value == "1") return true;
     wrong(path, value, "true or false");
   }
-  std::map<std::string, std::string_view> values_;
+  const FactPairs& values_;
 };
 
 HandlerTerms readHandler(const Pairs& facts, std::size_t at) {
@@ -126,8 +111,47 @@
 
 }  // namespace
 
-Facts readFacts(std::string_view text) {
-  const Pairs facts(text);
+FactPairs pairsOfText(std::string_view text) {
+  FactPairs pairs;
+  for (std::size_t line = 1; !text.empty(); ++line) {
+    const auto end = text.find('\n');
+    const auto pair = text.substr(0, end);
+    text = end == std::string_view::npos ? std::string_view{} : text.substr(end + 1);
+    if (pair.empty()) continue;
+    const auto sign = pair.find('=');
+    if (sign == std::string_view::npos)
+      throw FactsError("settings: line " + std::to_string(line) + " has no '='");
+    pairs.insert_or_assign(std::string(pair.substr(0, sign)), std::string(pair.substr(sign + 1)));
+  }
+  return pairs;
+}
+
+// A list of plain values is joined with commas; a list of objects has its length under .count.
+FactPairs pairsOfJson(const nlohmann::json& nested) {
+  FactPairs pairs;
+  const auto plain = [](const nlohmann::json& value) {
+    return value.is_string() ? value.get<std::string>() : value.is_null() ? std::string() : value.dump();
+  };
+  const auto walk = [&](const auto& self, const std::string& path, const nlohmann::json& value) -> void {
+    if (value.is_object()) {
+      for (const auto& [name, inner] : value.items()) self(self, path.empty() ? name : path + "." + name, inner);
+    } else if (value.is_array() && !value.empty() && value.front().is_structured()) {
+      pairs[path + ".count"] = std::to_string(value.size());
+      for (std::size_t i = 0; i < value.size(); ++i) self(self, path + "." + std::to_string(i), value[i]);
+    } else if (value.is_array()) {
+      std::string joined;
+      for (const auto& item : value) joined.append(joined.empty() ? "" : ",").append(plain(item));
+      pairs[path] = joined;
+    } else {
+      pairs[path] = plain(value);
+    }
+  };
+  walk(walk, "", nested);
+  return pairs;
+}
+
+Facts readFacts(const FactPairs& pairs) {
+  const Pairs facts(pairs);
   Facts out;
   Machine& m = out.machine;
   m.cores = std::max(1, facts.count("domain.cores", 1));
@@ -143,7 +167,13 @@
   m.halting = haltings[facts.choice("domain.halt", {"none", "drop", "pause"})];
 
   const int handlers = facts.count("classes.count", 0);
-  for (int i = 0; i < handlers; ++i) out.handlers.push_back(readHandler(facts, static_cast<std::size_t>(i)));
+  for (int i = 0; i < handlers; ++i) {
+    out.handlers.push_back(readHandler(facts, static_cast<std::size_t>(i)));
+    out.handlerNames.emplace_back(facts.text("classes." + std::to_string(i) + ".name"));
+  }
+  const int customers = facts.count("orgs.count", 0);
+  for (int i = 0; i < customers; ++i)
+    out.customerNames.emplace_back(facts.text("orgs." + std::to_string(i) + ".name"));
 
   const BelowKind belows[] = {BelowKind::none, BelowKind::shared, BelowKind::tier};
   out.below.kind = belows[facts.choice("domain.below", {"none", "shared", "tier"})];
@@ -175,4 +205,15 @@
   return out;
 }
 
-}  // namespace simhost
+TimerRang timerRang(TimerId timer, std::span<const double> values, const std::vector<Gauge>& order) {
+  TimerRang out{.timer = timer, .cpu = {}, .wantingCore = {}, .memory = {}, .connections = {}};
+  for (std::size_t i = 0; i < values.size() && i < order.size(); ++i) {
+    if (order[i] == Gauge::cpu) out.cpu = values[i];
+    if (order[i] == Gauge::wantingCore) out.wantingCore = values[i];
+    if (order[i] == Gauge::memory) out.memory = values[i];
+    if (order[i] == Gauge::connections) out.connections = values[i];
+  }
+  return out;
+}
+
+}  // namespace rainhook
--- /dev/null
+++ b/src/net/clients.cpp
@@ -0,0 +1,357 @@
+#include "net/clients.h"
+
+#include <Poco/Exception.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace rainhook::net {
+namespace {
+
+using namespace std::chrono_literals;
+using thrift::Kind;
+using thrift::Type;
+using thrift::Writer;
+
+constexpr std::int16_t success = 0, overloaded = 1, internal = 2;
+
+template <typename T>
+std::optional<T> parsed(std::string_view text, int base = 10) {
+  T value{};
+  std::from_chars_result result{};
+  if constexpr (std::is_floating_point_v<T>)
+    result = std::from_chars(text.data(), text.data() + text.size(), value);
+  else
+    result = std::from_chars(text.data(), text.data() + text.size(), value, base);
+  if (text.empty() || result.ec != std::errc{} || result.ptr != text.data() + text.size()) return std::nullopt;
+  if constexpr (std::is_floating_point_v<T>)
+    if (!std::isfinite(value)) return std::nullopt;
+  return value;
+}
+
+// The fields of one call, each read once and checked; the first fault is kept.
+class Given {
+ public:
+  Given(const thrift::Fields& fields, std::string& fault) : fields_(fields), fault_(fault) {}
+
+  std::string_view text(const char* name) const {
+    const auto it = fields_.find(name);
+    return it == fields_.end() ? std::string_view{} : it->second;
+  }
+  template <typename T>
+  T number(const char* name, T least, T most, int base = 10) {
+    const auto value = parsed<T>(text(name), base);
+    if (value && *value >= least && *value <= most) return *value;
+    wrong(name);
+    return least;
+  }
+  std::size_t place(const char* name, const std::vector<std::string>& known) {
+    const auto it = std::find(known.begin(), known.end(), text(name));
+    if (it == known.end()) wrong(name);
+    return static_cast<std::size_t>(it - known.begin());
+  }
+  void wrong(const char* name) {
+    if (fault_.empty())
+      fault_ = fmt::format("field {}: {}", name, fields_.contains(name) ? "impossible" : "missing");
+  }
+
+ private:
+  const thrift::Fields& fields_;
+  std::string& fault_;
+};
+
+std::string exception(const thrift::Message& message, std::string_view why, std::int32_t type) {
+  return Writer(Kind::exception, message.name, message.sequence)
+      .field(1, Type::text)
+      .text(why)
+      .field(2, Type::i32)
+      .i32(type)
+      .stop()
+      .whole();
+}
+
+}  // namespace
+
+Clients::Clients(Reactor& reactor, BufferPool& pool, Log& log, Hearer& hearer, Names names,
+                 std::size_t mostOpen)
+    : reactor_(reactor),
+      pool_(pool),
+      log_(log),
+      hearer_(hearer),
+      names_(std::move(names)),
+      mostOpen_(mostOpen) {}
+
+void Clients::listen(const Poco::Net::SocketAddress& address) {
+  listener_.bind(address, true);
+  listener_.listen(512);
+  listener_.setBlocking(false);
+  listening_ = true;
+  wantAccepting(true);
+  sweeping_ = reactor_.after(sweepEvery, [this] { sweep(); });
+}
+
+void Clients::wantAccepting(bool wanted) {
+  if (wanted == accepting_) return;
+  accepting_ = wanted;
+  wanted ? reactor_.addEventHandler(listener_, onAccept_) : reactor_.removeEventHandler(listener_, onAccept_);
+}
+
+// Takes what waits to be accepted. Where descriptors run out an idle connection gives way, or accepting rests
+// until the next sweep.
+void Clients::acceptable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&) {
+  try {
+    for (int i = 0; i < 64; ++i) {
+      if (clients_.size() >= mostOpen_ && !closeOneIdle()) {
+        log_.line(Matter::clients, "{} connections open, none idle: accepting rests", clients_.size());
+        return wantAccepting(false);
+      }
+      if (!listener_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) return;
+      take(listener_.acceptConnection());
+    }
+  } catch (const Poco::Exception& error) {
+    log_.line(Matter::clients, "can't accept: {}", error.displayText());
+    if (!closeOneIdle()) wantAccepting(false);
+  }
+}
+
+void Clients::take(Poco::Net::StreamSocket socket) {
+  const ClientId id{++numbered_};
+  Client& client = clients_[id];
+  client.usedAt = Reactor::Clock::now();
+  Callbacks callbacks;
+  callbacks.came = [this, id](std::string_view bytes) { return came(id, bytes); };
+  callbacks.ended = [this, id](Ending how, const std::string& why) { left(id, how, why); };
+  // Answers may still be read by a caller that sends no more: only a break says that it has gone.
+  callbacks.halfClosed = [this, id] {
+    Client& client = clients_.at(id);
+    client.sendsNoMore = true;
+    if (quiet(client)) left(id, Ending::closedByPeer, "closed");
+  };
+  client.connection = Connection::accepted(reactor_, pool_, std::move(socket), std::move(callbacks));
+}
+
+std::size_t Clients::came(ClientId id, std::string_view bytes) {
+  Client& client = clients_.at(id);
+  // A caller that does not read its answers, or sends far more than it may, is not read until it does.
+  if (client.connection->waiting() > mostWaiting || client.owed.size() >= mostOwed) {
+    client.connection->pause();
+    return 0;
+  }
+  const auto frame = thrift::readFrame(bytes, longestFrame);
+  if (!frame) return 0;
+  client.usedAt = Reactor::Clock::now();
+  message(id, thrift::readMessage(frame->content));
+  return frame->size;
+}
+
+void Clients::message(ClientId id, const thrift::Message& message) {
+  Client& client = clients_.at(id);
+  if (message.kind == Kind::call && message.name == "call") return call(id, message);
+  if (message.kind == Kind::call && message.name == "health") {
+    // `full` asks for real work in the check, for which the engine's protocol has no word: the word said last
+    // answers both kinds.
+    thrift::Reader(message.body).structure([](auto, auto, auto&) { return false; });
+    return client.connection->write(Writer(Kind::reply, message.name, message.sequence)
+                                        .field(success, Type::structure)
+                                        .field(1, Type::text)
+                                        .text("")
+                                        .field(2, Type::map)
+                                        .fields(spoken())
+                                        .field(3, Type::boolean)
+                                        .boolean(good_)
+                                        .stop()
+                                        .stop()
+                                        .whole());
+  }
+  if (message.kind == Kind::oneway && message.name == "cancel") {
+    std::int32_t number = 0;
+    thrift::Reader(message.body).structure([&](std::int16_t field, Type type, thrift::Reader& in) {
+      if (field != 1 || type != Type::i32) return false;
+      number = in.i32();
+      return true;
+    });
+    const auto owed = client.owed.find(number);
+    if (owed == client.owed.end()) return;  // answered meanwhile, or never asked
+    const ReqId req = owed->second;
+    client.owed.erase(owed);
+    return hearer_.callerLeft(req);
+  }
+  if (message.kind != Kind::call) throw Nonsense("an unexpected message: " + message.name.substr(0, 40));
+  constexpr std::int32_t unknownMethod = 1;
+  client.connection->write(exception(message, "unknown method", unknownMethod));
+}
+
+bool Clients::readReq(const thrift::Message& message, ArrivedReq& req, std::string& fault) const {
+  thrift::Fields fields;
+  thrift::Reader(message.body).structure([&](std::int16_t field, Type type, thrift::Reader& in) {
+    if (field == 1 && type == Type::map) return fields = in.fields(), true;
+    if (field == 2 && type == Type::text) return req.body = in.text(), true;
+    return false;
+  });
+  Given given(fields, fault);
+  req.name = given.text("rid");
+  if (req.name.size() != 16 || !parsed<std::uint64_t>(req.name, 16)) given.wrong("rid");
+  req.handler = HandlerId{static_cast<std::uint8_t>(given.place("method", names_.handlers))};
+  if (!names_.customers.empty())
+    req.customer = CustomerId{static_cast<std::uint16_t>(given.place("acct", names_.customers))};
+  req.caller = CallerId{given.number<std::uint16_t>("peer", 0, 65535)};
+  constexpr std::int64_t longTime = 4'000'000'000'000'000;
+  const std::chrono::milliseconds came(given.number<std::int64_t>("t0", 0, longTime));
+  const std::chrono::milliseconds budget(given.number<std::int64_t>("budget", 0, 86'400'000));
+  req.heldKb = given.number<double>("mem", 0, 2000);
+  if (req.heldKb <= 0) given.wrong("mem");
+  req.rank = given.number<double>("prio", 0, 1);
+  if (!given.text("obj").empty()) req.subject = SubjectId{given.number<std::uint64_t>("obj", 0, ~0ULL, 16)};
+  // Sites with uniqued handlers and hints name them so; PROTOCOL leaves both out of its table.
+  req.mark = given.text("token");
+  if (!given.text("est").empty())
+    req.workHint = Span(std::chrono::microseconds(
+        static_cast<std::int64_t>(given.number<double>("est", 0, 86'400'000) * 1000)));
+  if (req.body.size() > 2048) fault = "a body over 2 KiB";
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  req.unread = std::clamp<Span>(now - came, 0s, 1h);
+  req.patience = std::max<Span>(came + budget - now, 0s);
+  return fault.empty();
+}
+
+void Clients::call(ClientId id, const thrift::Message& message) {
+  Client& client = clients_.at(id);
+  if (client.owed.contains(message.sequence)) {
+    log_.line(Matter::clients, "a number that is open already is passed over: {}", message.sequence);
+    return;
+  }
+  ArrivedReq req;
+  req.ticket = {id, message.sequence};
+  std::string fault;
+  if (!readReq(message, req, fault)) {
+    constexpr std::int32_t internalError = 6;
+    log_.line(Matter::clients, "a req that can't be served: {}", fault);
+    return client.connection->write(exception(message, fault, internalError));
+  }
+  // Entered first, so that an answer given at once finds it.
+  client.owed.emplace(message.sequence, ReqId{});
+  const Ticket ticket = req.ticket;
+  if (const auto taken = hearer_.reqCame(std::move(req)))
+    client.owed[message.sequence] = *taken;
+  else
+    errored(ticket, "not taken");
+}
+
+void Clients::left(ClientId id, Ending how, const std::string& why) {
+  const auto it = clients_.find(id);
+  if (it == clients_.end()) return;
+  if (how == Ending::nonsense) log_.line(Matter::clients, "a connection is closed: {}", why);
+  Client client = std::move(it->second);
+  clients_.erase(it);
+  client.connection->close();
+  for (const auto& [number, req] : client.owed) hearer_.callerLeft(req);
+  if (listening_) wantAccepting(true);
+}
+
+thrift::Fields Clients::spoken() const {
+  if (!signal_) return {};
+  return {{"hint", fmt::format("{:.4f}", *signal_)}};
+}
+
+void Clients::answer(Ticket ticket, std::string message) {
+  const auto it = clients_.find(ticket.client);
+  if (it == clients_.end() || it->second.owed.erase(ticket.number) == 0) return;
+  it->second.usedAt = Reactor::Clock::now();
+  it->second.connection->write(message);
+}
+
+void Clients::done(Ticket ticket, std::string_view result) {
+  answer(ticket, Writer(Kind::reply, "call", ticket.number)
+                     .field(success, Type::structure)
+                     .field(1, Type::text)
+                     .text(result)
+                     .field(2, Type::map)
+                     .fields(spoken())
+                     .field(3, Type::boolean)
+                     .boolean(good_)
+                     .stop()
+                     .stop()
+                     .whole());
+}
+
+void Clients::shed(Ticket ticket, Span stayAway, bool lastTry) {
+  auto fields = spoken();
+  if (const auto millis = std::chrono::round<std::chrono::milliseconds>(stayAway); millis > 0ms)
+    fields.emplace("backoff", std::to_string(millis.count()));
+  if (lastTry) fields.emplace("final", "1");
+  answer(ticket, Writer(Kind::reply, "call", ticket.number)
+                     .field(overloaded, Type::structure)
+                     .field(1, Type::map)
+                     .fields(fields)
+                     .stop()
+                     .stop()
+                     .whole());
+}
+
+void Clients::errored(Ticket ticket, std::string_view why) {
+  auto fields = spoken();
+  fields.emplace("why", why);
+  answer(ticket, Writer(Kind::reply, "call", ticket.number)
+                     .field(internal, Type::structure)
+                     .field(1, Type::map)
+                     .fields(fields)
+                     .stop()
+                     .stop()
+                     .whole());
+}
+
+void Clients::wave(Client& client) {
+  if (client.wavedAt) return;
+  client.wavedAt = Reactor::Clock::now();
+  client.connection->write(Writer(Kind::oneway, "closing", 0).stop().whole());
+}
+
+void Clients::wave() {
+  if (listening_) {
+    acceptable(nullptr);  // what the machine accepted for us is read and answered
+    wantAccepting(false);
+    listener_.close();
+    listening_ = false;
+  }
+  for (auto& [id, client] : clients_) wave(client);
+}
+
+bool Clients::quiet(const Client& client) {
+  return client.owed.empty() && client.connection->waiting() == 0;
+}
+
+bool Clients::allSent() const {
+  return std::all_of(clients_.begin(), clients_.end(), [](const auto& entry) { return quiet(entry.second); });
+}
+
+// A connection on which nothing is open may be closed at any time.
+bool Clients::closeOneIdle() {
+  const auto* longest = static_cast<std::pair<const ClientId, Client>*>(nullptr);
+  for (auto& entry : clients_)
+    if (quiet(entry.second) && (!longest || entry.second.usedAt < longest->second.usedAt)) longest = &entry;
+  if (longest) left(longest->first, Ending::closedByPeer, "idle");
+  return longest != nullptr;
+}
+
+// Idle connections are asked to close; those that were asked and have not are closed; paused ones are read on.
+void Clients::sweep() {
+  sweeping_ = reactor_.after(sweepEvery, [this] { sweep(); });
+  const auto now = Reactor::Clock::now();
+  std::vector<ClientId> over, ready;
+  for (auto& [id, client] : clients_) {
+    const bool wavedLong = client.wavedAt && now - std::max(*client.wavedAt, client.usedAt) > waveLasts;
+    if (quiet(client) && (client.sendsNoMore || wavedLong))
+      over.push_back(id);
+    else if (quiet(client) && idleAfter_ && now - client.usedAt > *idleAfter_)
+      wave(client);
+    if (client.connection->waiting() <= mostWaiting && client.owed.size() < mostOwed) ready.push_back(id);
+  }
+  for (const ClientId id : over) left(id, Ending::closedByPeer, "idle");
+  for (const ClientId id : ready)
+    if (const auto it = clients_.find(id); it != clients_.end()) it->second.connection->resume();
+  if (listening_ && clients_.size() < mostOpen_) wantAccepting(true);
+}
+
+}  // namespace rainhook::net
--- /dev/null
+++ b/src/net/clients.h
@@ -0,0 +1,113 @@
+// The balancers: framed Thrift on accepted connections. Their reqs come out in the project's words, answers go in;
+// the protocol's names end in clients.cpp.
+#pragma once
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "decision/decision.h"
+#include "net/connection.h"
+#include "net/log.h"
+#include "net/reactor.h"
+#include "net/thrift.h"
+
+namespace rainhook::net {
+
+// Where an answer goes: a connection and the req's number on it.
+enum class ClientId : std::uint32_t {};
+struct Ticket {
+  ClientId client{};
+  std::int32_t number = 0;
+};
+
+struct ArrivedReq {
+  Ticket ticket;
+  std::string name;  // what the engine and the next tier call it
+  HandlerId handler{};
+  CustomerId customer{};
+  CallerId caller{};
+  SubjectId subject{};
+  std::string mark;  // by which a repeat of a uniqued req is known
+  double rank = 0, heldKb = 0;
+  std::optional<Span> workHint;
+  Span unread{}, patience{};
+  std::string body;
+};
+
+class Clients {
+ public:
+  struct Hearer {
+    virtual ~Hearer() = default;
+    // The id of the req from now on; none where it can't be taken, which answers it as errored.
+    virtual std::optional<ReqId> reqCame(ArrivedReq&& req) = 0;
+    virtual void callerLeft(ReqId id) = 0;
+  };
+  struct Names {
+    std::vector<std::string> handlers, customers;
+  };
+
+  Clients(Reactor& reactor, BufferPool& pool, Log& log, Hearer& hearer, Names names, std::size_t mostOpen);
+
+  void listen(const Poco::Net::SocketAddress& address);
+  void done(Ticket ticket, std::string_view result);
+  void shed(Ticket ticket, Span stayAway, bool lastTry);
+  void errored(Ticket ticket, std::string_view why);
+  void sayHealth(bool good) { good_ = good; }
+  void saySignal(double value) { signal_ = value; }
+  void closeIdleAfter(Span idle) { idleAfter_ = idle; }
+  // No new connection is taken, and every caller is asked to leave once it has its answers.
+  void wave();
+  std::size_t open() const { return clients_.size(); }
+  bool allSent() const;
+
+ private:
+  struct Client {
+    std::shared_ptr<Connection> connection;
+    std::map<std::int32_t, ReqId> owed;  // a req leaves when it is answered or its caller has left
+    Reactor::Clock::time_point usedAt;
+    std::optional<Reactor::Clock::time_point> wavedAt;
+    bool sendsNoMore = false;
+  };
+
+  void acceptable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
+  void wantAccepting(bool wanted);
+  void take(Poco::Net::StreamSocket socket);
+  std::size_t came(ClientId id, std::string_view bytes);
+  void message(ClientId id, const thrift::Message& message);
+  void call(ClientId id, const thrift::Message& message);
+  bool readReq(const thrift::Message& message, ArrivedReq& req, std::string& fault) const;
+  void left(ClientId id, Ending how, const std::string& why);
+  void answer(Ticket ticket, std::string message);
+  void wave(Client& client);
+  void sweep();
+  static bool quiet(const Client& client);
+  bool closeOneIdle();
+  thrift::Fields spoken() const;
+
+  static constexpr std::size_t longestFrame = 8 * 1024, mostWaiting = 32 * 1024, mostOwed = 64;
+  static constexpr Span sweepEvery = std::chrono::milliseconds(100), waveLasts = std::chrono::seconds(1);
+
+  Reactor& reactor_;
+  BufferPool& pool_;
+  Log& log_;
+  Hearer& hearer_;
+  const Names names_;
+  const std::size_t mostOpen_;
+  Poco::Net::ServerSocket listener_;
+  Poco::NObserver<Clients, Poco::Net::ReadableNotification> onAccept_{*this, &Clients::acceptable};
+  bool listening_ = false, accepting_ = false;
+  std::map<ClientId, Client> clients_;  // a client leaves when its connection ends
+  std::uint32_t numbered_ = 0;
+  bool good_ = true;
+  std::optional<double> signal_;
+  std::optional<Span> idleAfter_;
+  Reactor::Timer sweeping_;
+};
+
+}  // namespace rainhook::net
--- /dev/null
+++ b/src/net/connection.cpp
@@ -0,0 +1,202 @@
+#include "net/connection.h"
+
+#include <Poco/Exception.h>
+
+#include <cstring>
+
+namespace rainhook::net {
+
+Connection::Connection(Reactor& reactor, BufferPool& pool, Poco::Net::StreamSocket socket,
+                       Callbacks callbacks)
+    : reactor_(reactor),
+      pool_(pool),
+      socket_(std::move(socket)),
+      callbacks_(std::make_shared<const Callbacks>(std::move(callbacks))),
+      in_(nullptr, BufferPool::GiveBack{&pool}),
+      out_(pool) {}
+
+std::shared_ptr<Connection> Connection::accepted(Reactor& reactor, BufferPool& pool,
+                                                 Poco::Net::StreamSocket socket, Callbacks callbacks) {
+  std::shared_ptr<Connection> made(
+      new Connection(reactor, pool, std::move(socket), std::move(callbacks)));
+  made->start(State::open);
+  return made;
+}
+
+std::shared_ptr<Connection> Connection::to(const Address& address, Reactor& reactor, BufferPool& pool,
+                                           Callbacks callbacks) {
+  std::shared_ptr<Connection> made(
+      new Connection(reactor, pool, Poco::Net::StreamSocket(), std::move(callbacks)));
+  try {
+    made->socket_.connectNB(address);
+    made->start(State::connecting);
+  } catch (const Poco::Exception& error) {
+    made->late_ = reactor.after(Reactor::Wait::zero(), [self = made.get(), why = error.displayText()] {
+      self->end(Ending::unreachable, why);
+    });
+  }
+  return made;
+}
+
+void Connection::start(State state) {
+  state_ = state;
+  socket_.setBlocking(false);
+  socket_.setNoDelay(true);
+  reactor_.addEventHandler(socket_, onError_);
+  watched_ = true;
+  if (state == State::open)
+    wantReading(true);
+  else
+    wantWriting(true);
+}
+
+void Connection::wantReading(bool wanted) {
+  if (wanted == reading_) return;
+  reading_ = wanted;
+  wanted ? reactor_.addEventHandler(socket_, onRead_) : reactor_.removeEventHandler(socket_, onRead_);
+}
+void Connection::wantWriting(bool wanted) {
+  if (wanted == writing_) return;
+  writing_ = wanted;
+  wanted ? reactor_.addEventHandler(socket_, onWrite_) : reactor_.removeEventHandler(socket_, onWrite_);
+}
+
+void Connection::listenWith(Callbacks callbacks) {
+  callbacks_ = std::make_shared<const Callbacks>(std::move(callbacks));
+  sentAny_ = false;
+}
+
+void Connection::pause() {
+  paused_ = true;
+  if (state_ == State::open) wantReading(false);
+}
+
+void Connection::resume() {
+  if (!std::exchange(paused_, false) || state_ != State::open || ended_) return;
+  const auto self = shared_from_this();
+  wantReading(true);
+  take([this] { feed(); });  // what came before the pause rings no bell
+}
+
+void Connection::readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&) {
+  const auto self = shared_from_this();
+  if (state_ == State::open) take([this] { read(); });
+}
+
+void Connection::take(const std::function<void()>& reading) {
+  try {
+    reading();
+  } catch (const Nonsense& nonsense) {
+    return end(Ending::nonsense, nonsense.what());
+  } catch (const Poco::Exception& error) {
+    return end(Ending::broken, error.displayText());
+  }
+  if (in_ && from_ == to_) in_.reset();
+}
+
+void Connection::read() {
+  for (int i = 0; i < readsATurn && state_ == State::open && reading_; ++i) {
+    if (!in_) in_ = pool_.lend(), from_ = to_ = 0;
+    if (to_ == BufferPool::bufferSize && from_ > 0) {
+      std::memmove(in_->data(), in_->data() + from_, to_ - from_);
+      to_ -= from_, from_ = 0;
+    }
+    const auto space = BufferPool::bufferSize - to_;
+    if (space == 0) throw Nonsense("a message longer than a buffer");
+    const int got = socket_.receiveBytes(in_->data() + to_, static_cast<int>(space));
+    if (got < 0) return;
+    if (got == 0) {
+      ended_ = true;
+      wantReading(false);
+      if (const auto callbacks = callbacks_; callbacks->halfClosed) return callbacks->halfClosed();
+      return end(Ending::closedByPeer, "closed by the peer");
+    }
+    to_ += static_cast<std::size_t>(got);
+    feed();
+    if (static_cast<std::size_t>(got) < space) return;
+  }
+}
+
+void Connection::feed() {
+  while (state_ == State::open && !paused_ && from_ < to_) {
+    const auto callbacks = callbacks_;
+    const std::size_t used = callbacks->came({in_->data() + from_, to_ - from_});
+    if (used == 0) return;
+    from_ += used;
+  }
+}
+
+void Connection::write(std::string_view bytes) {
+  if (state_ == State::closed) return;
+  out_.append(bytes);
+  if (state_ == State::open && !writing_ && !flushing_) flushLater();
+}
+
+void Connection::flushLater() {
+  flushing_ = true;
+  reactor_.flushLater([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self) return;
+    self->flushing_ = false;
+    if (self->state_ == State::open && !self->writing_) self->send();
+  });
+}
+
+void Connection::send() {
+  try {
+    while (!out_.empty()) {
+      const auto front = out_.front();
+      const int sent = socket_.sendBytes(front.data(), static_cast<int>(front.size()));
+      if (sent < 0) break;
+      sentAny_ = sentAny_ || sent > 0;
+      out_.consume(static_cast<std::size_t>(sent));
+      if (static_cast<std::size_t>(sent) < front.size()) break;
+    }
+    wantWriting(!out_.empty());
+  } catch (const Poco::Exception& error) {
+    end(Ending::broken, error.displayText());
+  }
+}
+
+void Connection::writable(const Poco::AutoPtr<Poco::Net::WritableNotification>&) {
+  const auto self = shared_from_this();
+  if (state_ == State::connecting) {
+    if (const int error = socket_.impl()->socketError(); error != 0)
+      return end(Ending::unreachable, std::strerror(error));
+    state_ = State::open;
+    wantReading(!paused_);
+    if (const auto callbacks = callbacks_; callbacks->opened) callbacks->opened();
+  }
+  if (state_ == State::open) send();
+}
+
+void Connection::failed(const Poco::AutoPtr<Poco::Net::ErrorNotification>&) {
+  const auto self = shared_from_this();
+  if (state_ == State::closed) return;
+  // What came before the break is still read.
+  if (state_ == State::open && reading_) return take([this] { read(); });
+  const int error = socket_.impl()->socketError();
+  end(state_ == State::connecting ? Ending::unreachable : Ending::broken, std::strerror(error));
+}
+
+void Connection::end(Ending how, const std::string& why) {
+  if (state_ == State::closed) return;
+  const auto self = weak_from_this().lock();
+  close();
+  if (const auto callbacks = callbacks_; callbacks->ended) callbacks->ended(how, why);
+}
+
+void Connection::close() {
+  late_.cancel();
+  if (state_ != State::closed) {
+    wantReading(false);
+    wantWriting(false);
+    if (watched_) reactor_.removeEventHandler(socket_, onError_);
+    socket_.close();
+  }
+  state_ = State::closed;
+  out_.clear();  // what came in may still be looked at by the callback that closes
+  if (const auto self = weak_from_this().lock()) reactor_.retire(self);
+}
+
+}  // namespace rainhook::net
--- /dev/null
+++ b/src/net/connection.h
@@ -0,0 +1,94 @@
+// One TCP connection: partial reads and writes, write interest only while output waits. It is owned by the file
+// of its peer; close() is the one place where its socket is given back.
+#pragma once
+
+#include <Poco/NObserver.h>
+#include <Poco/Net/SocketNotification.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <functional>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "net/buffers.h"
+#include "net/reactor.h"
+
+namespace rainhook::net {
+
+// What a peer sent that no rule of its protocol allows.
+struct Nonsense : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+enum class Ending { closedByPeer, broken, unreachable, nonsense };
+
+struct Callbacks {
+  // The bytes so far; returns how many of them are done with. Throws Nonsense.
+  std::function<std::size_t(std::string_view)> came;
+  // Once, and never after close(): the connection is closed already.
+  std::function<void(Ending, const std::string&)> ended;
+  std::function<void()> opened;
+  // The peer sends no more; where absent the connection ends as closed by the peer.
+  std::function<void()> halfClosed;
+};
+
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  using Address = Poco::Net::SocketAddress;
+
+  static std::shared_ptr<Connection> accepted(Reactor& reactor, BufferPool& pool,
+                                              Poco::Net::StreamSocket socket, Callbacks callbacks);
+  // Begins to connect; how that ends comes by the callbacks, not from within this call.
+  static std::shared_ptr<Connection> to(const Address& address, Reactor& reactor, BufferPool& pool,
+                                        Callbacks callbacks);
+  ~Connection() { close(); }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  void write(std::string_view bytes);
+  std::size_t waiting() const { return out_.size(); }
+  // Whether anything was sent since the callbacks were given.
+  bool sentAny() const { return sentAny_; }
+  bool closed() const { return state_ == State::closed; }
+  void listenWith(Callbacks callbacks);
+  void pause();
+  void resume();
+  void close();
+
+ private:
+  enum class State { connecting, open, closed };
+  Connection(Reactor& reactor, BufferPool& pool, Poco::Net::StreamSocket socket, Callbacks callbacks);
+  void start(State state);
+  void readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
+  void writable(const Poco::AutoPtr<Poco::Net::WritableNotification>&);
+  void failed(const Poco::AutoPtr<Poco::Net::ErrorNotification>&);
+  void read();
+  void feed();
+  void take(const std::function<void()>& reading);
+  void send();
+  void end(Ending how, const std::string& why);
+  void wantReading(bool wanted);
+  void wantWriting(bool wanted);
+  void flushLater();
+
+  static constexpr int readsATurn = 4;
+
+  Reactor& reactor_;
+  BufferPool& pool_;
+  Poco::Net::StreamSocket socket_;
+  std::shared_ptr<const Callbacks> callbacks_;  // shared with the callback that runs and may replace it
+  State state_ = State::connecting;
+  BufferPool::Lease in_;  // held only while a message is not whole
+  std::size_t from_ = 0, to_ = 0;
+  Outgoing out_;
+  bool reading_ = false, writing_ = false, paused_ = false, ended_ = false, sentAny_ = false;
+  bool flushing_ = false, watched_ = false;
+  Reactor::Timer late_;
+  Poco::NObserver<Connection, Poco::Net::ReadableNotification> onRead_{*this, &Connection::readable};
+  Poco::NObserver<Connection, Poco::Net::WritableNotification> onWrite_{*this, &Connection::writable};
+  Poco::NObserver<Connection, Poco::Net::ErrorNotification> onError_{*this, &Connection::failed};
+};
+
+}  // namespace rainhook::net
--- /dev/null
+++ b/src/net/engine.cpp
@@ -0,0 +1,131 @@
+#include "net/engine.h"
+
+#include <charconv>
+
+namespace rainhook::net {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view catchUp = "catch-up";
+
+Span millis(const json& line) {
+  const auto it = line.find("duration");
+  const double value = it != line.end() && it->is_number() ? it->get<double>() : 0;
+  return std::chrono::duration_cast<Span>(std::chrono::duration<double, std::milli>(std::min(value, 1e12)));
+}
+std::string text(const json& line, const char* name) {
+  const auto it = line.find(name);
+  return it != line.end() && it->is_string() ? it->get<std::string>() : std::string();
+}
+std::string blob(const json& line) { return jsonl::fromBase64(text(line, "blob")); }
+
+}  // namespace
+
+Engine::Engine(Reactor& reactor, BufferPool& pool, Log& log, Hearer& hearer, Connection::Address address)
+    : reactor_(reactor), pool_(pool), log_(log), hearer_(hearer), address_(std::move(address)) {}
+
+void Engine::connect() {
+  Callbacks callbacks;
+  callbacks.came = [this](std::string_view bytes) -> std::size_t {
+    const auto line = jsonl::readLine(bytes);
+    if (!line) return 0;
+    came(line->object);
+    return line->size;
+  };
+  callbacks.ended = [this](Ending, const std::string& why) { lost(why); };
+  greeted_ = false;
+  connection_ = Connection::to(address_, reactor_, pool_, std::move(callbacks));
+  connection_->write(jsonl::writeLine({{"msg", "subscribe"}, {"serial", lastNotice_}}));
+}
+
+void Engine::lost(const std::string& why) {
+  if (!std::exchange(lostSaid_, true)) log_.line(Matter::engine, "the link to the engine is lost: {}", why);
+  greeted_ = false;
+  connection_.reset();
+  retry_ = reactor_.after(again, [this] { connect(); });
+}
+
+// While there is no link nothing is said: what still holds is said again once it has caught up.
+void Engine::say(const json& line) {
+  if (!greeted_ || !connection_) return;
+  if (connection_->waiting() > mostWaiting) return;
+  connection_->write(jsonl::writeLine(line));
+}
+void Engine::launch(const std::string& name, const std::string& handler, std::string_view body) {
+  say({{"msg", "launch"}, {"call", name}, {"service", handler}, {"blob", jsonl::toBase64(body)}});
+}
+void Engine::deliver(const std::string& name, std::string_view reply) {
+  say({{"msg", "deliver"}, {"call", name}, {"blob", jsonl::toBase64(reply)}});
+}
+void Engine::forgo(const std::string& name, std::uint64_t notice) {
+  say({{"msg", "forgo"}, {"call", name}, {"serial", notice}});
+}
+void Engine::ask(std::uint64_t question) {
+  asked_ = question, askedAt_ = Reactor::Clock::now();
+  say({{"msg", "sample"}, {"cookie", std::to_string(question)}});
+}
+
+bool Engine::fresh(const json& line) {
+  const auto it = line.find("serial");
+  if (it == line.end() || !it->is_number_unsigned()) throw Nonsense("a notice without its number");
+  const auto number = it->get<std::uint64_t>();
+  if (number <= lastNotice_) return false;
+  if (number > lastNotice_ + 1)
+    log_.line(Matter::engine, "notices {} to {} of the engine are missing", lastNotice_ + 1, number - 1);
+  lastNotice_ = number;
+  return true;
+}
+
+void Engine::came(const json& line) {
+  const std::string kind = text(line, "msg"), name = text(line, "call"), how = text(line, "how");
+  if (kind == "outcome") {
+    Outcome outcome = Outcome::errored;
+    if (how == "ok")
+      outcome = Outcome::done;
+    else if (how == "halted")
+      outcome = Outcome::stopped;
+    else if (how == "void")
+      outcome = Outcome::moot;
+    else if (how != "failed")
+      log_.line(Matter::engine, "a run ended in an unknown way: {}", how);
+    auto result = blob(line);
+    if (fresh(line)) hearer_.runEnded(name, outcome, millis(line), std::move(result));
+  } else if (kind == "request") {
+    auto body = blob(line);
+    if (fresh(line)) hearer_.callWanted(name, lastNotice_, std::move(body));
+  } else if (kind == "aside") {
+    fresh(line);
+  } else if (kind == "sampled") {
+    const auto cookie = text(line, "cookie");
+    if (cookie == catchUp) {
+      if (std::exchange(catchingUp_, false)) hearer_.caughtUp();
+      return;
+    }
+    std::uint64_t question = 0;
+    std::from_chars(cookie.data(), cookie.data() + cookie.size(), question);
+    std::vector<double> values;
+    if (const auto stats = line.find("stats"); stats != line.end() && stats->is_array())
+      for (const auto& value : *stats) values.push_back(value.is_number() ? value.get<double>() : 0);
+    if (question == asked_) readUntil_ = askedAt_;
+    hearer_.gauges(question, values);
+  } else if (kind == "greeting") {
+    greeted_ = true;
+    if (everUp_) {
+      log_.line(Matter::engine, "the link to the engine is made again");
+      catchingUp_ = true;
+      say({{"msg", "sample"}, {"cookie", catchUp}});
+    } else {
+      everUp_ = true;
+      log_.line(Matter::engine, "the engine is up, {}", how);
+      hearer_.engineUp(how == "cold", millis(line));
+    }
+    lostSaid_ = false;
+  } else if (kind == "refusal") {
+    log_.line(Matter::engine, "the engine refused {} for {}", how, name);
+  } else {
+    throw Nonsense("an unknown notice: " + kind.substr(0, 40));
+  }
+}
+
+}  // namespace rainhook::net
--- /dev/null
+++ b/src/net/engine.h
@@ -0,0 +1,61 @@
+// The engine: the agent that owns the cores and does the runs, over one link of JSON lines that is made again
+// whenever it breaks. Notices are taken once each, by their numbers. The protocol's names end in engine.cpp.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "decision/decision.h"
+#include "net/connection.h"
+#include "net/jsonl.h"
+#include "net/log.h"
+#include "net/reactor.h"
+
+namespace rainhook::net {
+
+class Engine {
+ public:
+  struct Hearer {
+    virtual ~Hearer() = default;
+    virtual void engineUp(bool cold, Span since) = 0;
+    // The link was made anew, and every notice that had been missed has been taken.
+    virtual void caughtUp() = 0;
+    virtual void runEnded(const std::string& name, Outcome outcome, Span took, std::string&& result) = 0;
+    virtual void callWanted(const std::string& name, std::uint64_t notice, std::string&& body) = 0;
+    virtual void gauges(std::uint64_t question, const std::vector<double>& values) = 0;
+  };
+
+  Engine(Reactor& reactor, BufferPool& pool, Log& log, Hearer& hearer, Connection::Address address);
+
+  void connect();
+  void launch(const std::string& name, const std::string& handler, std::string_view body);
+  void deliver(const std::string& name, std::string_view reply);
+  void forgo(const std::string& name, std::uint64_t notice);
+  void ask(std::uint64_t question);
+  // Whether what was said then has surely been read: a question asked later has been answered.
+  bool surelyRead(Reactor::Clock::time_point said) const { return said < readUntil_; }
+
+ private:
+  void came(const nlohmann::json& line);
+  bool fresh(const nlohmann::json& line);
+  void say(const nlohmann::json& line);
+  void lost(const std::string& why);
+
+  static constexpr Reactor::Wait again = std::chrono::milliseconds(50);
+  static constexpr std::size_t mostWaiting = 1 << 20;
+
+  Reactor& reactor_;
+  BufferPool& pool_;
+  Log& log_;
+  Hearer& hearer_;
+  const Connection::Address address_;
+  std::shared_ptr<Connection> connection_;
+  bool greeted_ = false, catchingUp_ = false, everUp_ = false, lostSaid_ = false;
+  std::uint64_t lastNotice_ = 0, asked_ = 0;
+  Reactor::Clock::time_point askedAt_{}, readUntil_{};
+  Reactor::Timer retry_;
+};
+
+}  // namespace rainhook::net
--- /dev/null
+++ b/src/net/servers.cpp
@@ -0,0 +1,114 @@
+#include "net/servers.h"
+
+#include <algorithm>
+
+#include "net/http.h"
+
+namespace rainhook::net {
+
+using namespace std::chrono_literals;
+
+Servers::Servers(Reactor& reactor, BufferPool& pool, Log& log, Hearer& hearer,
+                 std::optional<Connection::Address> address, std::size_t mostOpen)
+    : reactor_(reactor),
+      pool_(pool),
+      log_(log),
+      hearer_(hearer),
+      address_(std::move(address)),
+      mostOpen_(mostOpen) {}
+
+Callbacks Servers::callbacks(ReqId id) {
+  Callbacks callbacks;
+  callbacks.came = [this, id](std::string_view bytes) { return came(id, bytes); };
+  callbacks.ended = [this, id](Ending how, const std::string& why) { broke(id, how, why); };
+  return callbacks;
+}
+
+void Servers::call(ReqId id, const std::string& name, Span limit, std::string_view body) {
+  giveUp(id);
+  Call& call = calls_[id];
+  call.made = Reactor::Clock::now();
+  if (!address_ || (idle_.empty() && open() > mostOpen_)) {
+    call.limit = reactor_.after(0s, [this, id] { end(id, Outcome::unreachable, {}); });
+    return;
+  }
+  if (idle_.empty()) {
+    call.connection = Connection::to(*address_, reactor_, pool_, callbacks(id));
+  } else {
+    call.connection = std::move(idle_.back().connection);
+    idle_.pop_back();
+    call.connection->listenWith(callbacks(id));
+  }
+  call.limit = reactor_.after(limit, [this, id] { end(id, Outcome::timedOut, {}); });
+  const auto millis = std::max<std::int64_t>(1, std::chrono::floor<std::chrono::milliseconds>(limit).count());
+  call.connection->write(http::request("POST", "/rpc/call", address_->toString(),
+                                       {{"Parent-Call", name}, {"Deadline-Ms", std::to_string(millis)}}, body));
+}
+
+void Servers::giveUp(ReqId id) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  if (it->second.connection) it->second.connection->close();
+  calls_.erase(it);
+}
+
+std::size_t Servers::came(ReqId id, std::string_view bytes) {
+  auto response = http::readResponse(bytes);
+  if (!response) return 0;
+  const bool turnedAway = response->header("turned-away") == "1";
+  Outcome outcome = Outcome::errored;
+  if (response->status == 200) outcome = Outcome::done;
+  if (response->status == 503 && turnedAway) outcome = Outcome::refused;
+  if (response->status == 409 && turnedAway) outcome = Outcome::moot;
+  if (response->status == 504) outcome = Outcome::timedOut;
+  Call& call = calls_.at(id);
+  if (response->keeps && response->size == bytes.size()) keep(std::exchange(call.connection, nullptr));
+  end(id, outcome, std::move(response->body));
+  return bytes.size();
+}
+
+void Servers::broke(ReqId id, Ending how, const std::string& why) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  // A call of which nothing was sent has surely not run; any other break proves nothing.
+  const bool never = how == Ending::unreachable || !it->second.connection->sentAny();
+  log_.line(Matter::servers, "a call below {}: {}", never ? "found no server" : "was cut short", why);
+  end(id, never ? Outcome::unreachable : Outcome::cutShort, {});
+}
+
+void Servers::end(ReqId id, Outcome outcome, std::string&& reply) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  const Span took = Reactor::Clock::now() - it->second.made;
+  giveUp(id);
+  hearer_.callEnded(id, outcome, took, std::move(reply));
+}
+
+void Servers::keep(std::shared_ptr<Connection> connection) {
+  Callbacks callbacks;
+  const Connection* const self = connection.get();
+  const auto drop = [this, self] {
+    std::erase_if(idle_, [self](const Idle& idle) {
+      if (idle.connection.get() != self) return false;
+      idle.connection->close();
+      return true;
+    });
+  };
+  callbacks.came = [](std::string_view) -> std::size_t { throw Nonsense("an answer to no call"); };
+  callbacks.ended = [drop](Ending, const std::string&) { drop(); };
+  connection->listenWith(std::move(callbacks));
+  idle_.push_back({std::move(connection), Reactor::Clock::now()});
+  sweep();
+}
+
+void Servers::sweep() {
+  const auto now = Reactor::Clock::now();
+  std::erase_if(idle_, [now](const Idle& idle) {
+    if (now - idle.since < idleFor) return false;
+    idle.connection->close();
+    return true;
+  });
+  if (!idle_.empty()) sweeping_ = reactor_.after(sweepEvery, [this] { sweep(); });
+}
+
+}  // namespace rainhook::net
--- /dev/null
+++ b/src/server/server.cpp
@@ -0,0 +1,321 @@
+#include "server/server.h"
+
+#include <utility>
+
+namespace rainhook::server {
+namespace {
+
+using namespace std::chrono_literals;
+
+std::optional<net::Connection::Address> addressOf(const std::string& text) {
+  if (text.empty()) return std::nullopt;
+  return net::Connection::Address(text);
+}
+
+}  // namespace
+
+// Descriptors: half of them are the balancers' to open, an eighth is for calls, the rest stays free.
+Server::Server(net::Reactor& reactor, net::Log& log, const Place& place, const Facts& facts)
+    : reactor_(reactor),
+      log_(log),
+      place_(place),
+      facts_(facts),
+      clients_(reactor, pool_, log, *this, {facts.handlerNames, facts.customerNames},
+               place.descriptors * 3 / 4),
+      servers_(reactor, pool_, log, *this, addressOf(place.next), place.descriptors / 8),
+      engine_(reactor, pool_, log, *this, net::Connection::Address(place.engine)) {
+  if (const auto address = addressOf(place.list))
+    list_ = std::make_unique<net::List>(reactor, pool_, log, *address, place.name);
+}
+
+void Server::open() {
+  clients_.listen(net::Connection::Address(place_.listen));
+  reactor_.atTurnEnd([this] { endTurn(); });
+  engine_.connect();
+  if (list_) list_->takesWork(true);
+  report();
+  log_.line(net::Matter::start, "{} serves at {}", place_.name, place_.listen);
+}
+
+// The module counts from the engine's start, since that is what is cold or warm; before the engine is up no req
+// comes, and one that comes all the same opens it.
+void Server::openModule(bool cold, Span since) {
+  if (module_) return;
+  origin_ = net::Reactor::Clock::now() - since;
+  Machine machine = facts_.machine;
+  machine.cold = cold;
+  module_ = openDecision(place_.seed, machine, facts_.handlers, facts_.below, facts_.duties, facts_.voice,
+                         facts_.trade, facts_.fleet);
+  again_ = reactor_.after(0s, [] {});
+}
+
+Span Server::sinceOpened() const { return net::Reactor::Clock::now() - origin_; }
+
+void Server::tell(Event event) { happened_.push_back(std::move(event)); }
+
+void Server::endTurn() {
+  if (!module_ || (happened_.empty() && again_.rang())) return;
+  again_ = {};
+  marks_.expire(net::Reactor::Clock::now());
+  const auto happened = std::exchange(happened_, {});
+  for (const auto& action : module_->decide(sinceOpened(), happened))
+    std::visit([this](const auto& a) { perform(a); }, action);
+  if (!happened_.empty()) again_ = reactor_.after(0s, [] {});  // what the actions brought about
+}
+
+// News of the peers.
+std::optional<ReqId> Server::reqCame(net::ArrivedReq&& req) {
+  if (table_.named(req.name)) {
+    log_.line(net::Matter::clients, "a req whose name is in hand already: {}", req.name);
+    return std::nullopt;
+  }
+  openModule(facts_.machine.cold, 0s);
+  const ReqId id{++reqs_};
+  ++counts_.read;
+  ReqRead read;
+  read.id = id;
+  read.handler = req.handler;
+  read.customer = req.customer;
+  read.caller = req.caller;
+  read.subject = req.subject;
+  if (const auto key = Marks::keyOf(req, facts_.handlers))
+    read.repeats = marks_.holder(*key, net::Reactor::Clock::now(), facts_.trade.shareFor);
+  read.rank = req.rank;
+  read.heldKb = req.heldKb;
+  read.workHint = req.workHint;
+  if (facts_.tellsPatience) read.patience = req.patience;
+  read.unread = req.unread;
+  read.write = req.subject == SubjectId{};
+  table_.add(id, std::move(req));
+  tell(read);
+  return id;
+}
+
+void Server::callerLeft(ReqId id) {
+  InHand* req = table_.find(id);
+  if (!req) return;
+  ++counts_.left;
+  tell(CallerGone{id});
+  settled(id, *req);
+}
+
+void Server::engineUp(bool cold, Span since) { openModule(cold, since); }
+
+void Server::runEnded(const std::string& name, Outcome outcome, Span took, std::string&& result) {
+  const auto id = table_.named(name);
+  if (!id) return;
+  InHand& req = *table_.find(*id);
+  if (req.course < Course::running) return;
+  servers_.giveUp(*id);
+  const bool wasOwed = req.owed;
+  if (outcome == Outcome::done || outcome == Outcome::errored) {
+    if (wasOwed && outcome == Outcome::done) ++counts_.done, clients_.done(req.req.ticket, result);
+    if (wasOwed && outcome == Outcome::errored) ++counts_.errored, clients_.errored(req.req.ticket, "failed");
+    req.owed = false;
+  }
+  tell(RunEnded{*id, outcome, took});
+  if (outcome != Outcome::stopped || !wasOwed)
+    firstEnded(*id, outcome == Outcome::done ? Marks::End::done : Marks::End::errored, result);
+  if (req.owed && outcome == Outcome::stopped) {  // back in the hold
+    req.course = Course::held;
+    return;
+  }
+  table_.drop(*id);
+}
+
+void Server::callWanted(const std::string& name, std::uint64_t notice, std::string&& body) {
+  const auto id = table_.named(name);
+  if (!id) return;
+  InHand& req = *table_.find(*id);
+  if (req.course < Course::running) return;
+  req.course = Course::wantsCall;
+  req.said = InHand::Said::nothing;
+  req.notice = notice;
+  req.reply = std::move(body);
+  tell(CallWanted{*id});
+}
+
+void Server::callEnded(ReqId id, Outcome outcome, Span took, std::string&& reply) {
+  InHand* req = table_.find(id);
+  if (!req || req->course != Course::calling) return;
+  tell(CallEnded{id, outcome, took});
+  if (outcome != Outcome::done) {
+    req->course = Course::wantsCall;
+    return;
+  }
+  req->course = Course::running;
+  req->reply = std::move(reply);
+  req->said = InHand::Said::deliver;
+  req->saidAt = net::Reactor::Clock::now();
+  engine_.deliver(req->req.name, req->reply);
+}
+
+// The link broke and was made again. What the engine may not have read is said again, and where a run may have
+// ended unseen that must not run twice, it is over: its caller hears that it may have run.
+void Server::caughtUp() {
+  std::vector<ReqId> unsure;
+  for (const auto& [id, req] : table_.all())
+    if (req.said != InHand::Said::nothing && !engine_.surelyRead(req.saidAt)) unsure.push_back(id);
+  for (const ReqId id : unsure) sayAgain(*table_.find(id));
+  log_.line(net::Matter::engine, "{} of {} reqs in hand were told again", unsure.size(), table_.size());
+}
+
+void Server::sayAgain(InHand& req) {
+  const auto effect = facts_.handlers[static_cast<std::size_t>(req.req.handler)].effect;
+  const std::string name = req.req.name;
+  if (req.said == InHand::Said::deliver) return engine_.deliver(name, req.reply);
+  if (req.said == InHand::Said::forgo) return engine_.forgo(name, req.notice);
+  if (effect == Effect::replayable)
+    engine_.launch(name, facts_.handlerNames[static_cast<std::size_t>(req.req.handler)], req.req.body);
+  else
+    runEnded(name, Outcome::errored, net::Reactor::Clock::now() - req.since, {});
+}
+
+void Server::gauges(std::uint64_t question, const std::vector<double>& values) { ring(question, values); }
+
+void Server::ring(std::uint64_t question, const std::vector<double>& values) {
+  const auto it = ringing_.find(question);
+  if (it == ringing_.end()) return;
+  tell(timerRang(it->second.timer, values, facts_.gauges));
+  ringing_.erase(it);
+}
+
+// Actions of the module.
+void Server::perform(const Start& action) {
+  InHand* req = table_.find(action.id);
+  if (!req || req->course != Course::held) return;
+  req->course = Course::running;
+  req->since = req->saidAt = net::Reactor::Clock::now();
+  req->said = InHand::Said::launch;
+  engine_.launch(req->req.name, facts_.handlerNames[static_cast<std::size_t>(req->req.handler)],
+                 req->req.body);
+}
+void Server::perform(const Shed& action) {
+  InHand* req = table_.find(action.id);
+  if (!req || !req->owed) return;
+  ++counts_.shed;
+  clients_.shed(req->req.ticket, action.stayAway, action.lastTry);
+  settled(action.id, *req);
+}
+void Server::perform(const Fail& action) {
+  InHand* req = table_.find(action.id);
+  if (!req || !req->owed) return;
+  ++counts_.errored;
+  clients_.errored(req->req.ticket, "given up");
+  settled(action.id, *req);
+}
+// The engine's protocol has no word to stop a run, so a run that is no longer wanted goes on until it ends or
+// reaches its next call. A run that was stopped there all the same comes back as stopped.
+void Server::perform(const Stop&) {}
+void Server::perform(const Call& action) {
+  InHand* req = table_.find(action.id);
+  if (!req || req->course != Course::wantsCall) return;
+  req->course = Course::calling;
+  servers_.call(action.id, req->req.name, action.limit, req->reply);
+}
+void Server::perform(const SkipCall& action) {
+  InHand* req = table_.find(action.id);
+  if (!req || req->course != Course::wantsCall) return;
+  req->course = Course::running;
+  req->said = InHand::Said::forgo;
+  req->saidAt = net::Reactor::Clock::now();
+  engine_.forgo(req->req.name, req->notice);
+}
+void Server::perform(const Keep& action) {
+  const InHand* req = table_.find(action.id);
+  if (!req) return;
+  if (const auto key = Marks::keyOf(req->req, facts_.handlers))
+    marks_.keep(*key, action.id, net::Reactor::Clock::now() + action.keepFor);
+}
+void Server::perform(const Forget& action) {
+  firstEnded(action.id, Marks::End::errored, {});
+  marks_.forget(action.id);
+}
+void Server::perform(const AnswerFromFirst& action) {
+  InHand* req = table_.find(action.id);
+  if (!req) return;
+  const auto key = Marks::keyOf(req->req, facts_.handlers);
+  const auto first = key ? marks_.holder(*key, net::Reactor::Clock::now(), facts_.trade.shareFor) : std::nullopt;
+  const auto* kept = first ? marks_.find(*first) : nullptr;
+  req->course = Course::waitingForFirst;
+  req->since = net::Reactor::Clock::now();
+  req->first = first;
+  if (!kept) return answerFrom(action.id, *req, Marks::End::errored, {});
+  if (kept->end != Marks::End::none) answerFrom(action.id, *req, kept->end, kept->result);
+}
+void Server::perform(const SayHealth& action) {
+  clients_.sayHealth(action.good);
+  if (list_) list_->takesWork(action.good);
+}
+void Server::perform(const SaySignal& action) { clients_.saySignal(action.value); }
+void Server::perform(const CloseIdleAfter& action) { clients_.closeIdleAfter(action.idle); }
+void Server::perform(const SetTimer& action) {
+  const auto number = ++timers_;
+  set_[number] = reactor_.after(action.in, [this, number, timer = action.timer] {
+    const auto question = ++questions_;
+    ringing_[question] = {timer, reactor_.after(gaugesWait, [this, question] { ring(question, {}); })};
+    engine_.ask(question);
+    set_.erase(number);
+  });
+}
+void Server::perform(const Note& action) { log_.line(net::Matter::drain, "{}", action.text); }
+
+// No answer is owed any more. What has not started is over; a run that stands at a call ends there.
+void Server::settled(ReqId id, InHand& req) {
+  req.owed = false;
+  servers_.giveUp(id);
+  if (req.course >= Course::running) return;
+  firstEnded(id, Marks::End::errored, {});
+  table_.drop(id);
+}
+
+void Server::firstEnded(ReqId first, Marks::End end, const std::string& result) {
+  marks_.ended(first, end, net::Reactor::Clock::now(), result);
+  std::vector<ReqId> waiting;
+  for (const auto& [id, req] : table_.all())
+    if (req.first == first) waiting.push_back(id);
+  for (const ReqId id : waiting) answerFrom(id, *table_.find(id), end, result);
+}
+
+void Server::answerFrom(ReqId id, InHand& req, Marks::End end, const std::string& result) {
+  const bool done = end == Marks::End::done;
+  if (req.owed) {
+    done ? clients_.done(req.req.ticket, result) : clients_.errored(req.req.ticket, "the first try failed");
+    ++(done ? counts_.done : counts_.errored);
+  }
+  tell(RunEnded{id, done ? Outcome::done : Outcome::errored, net::Reactor::Clock::now() - req.since});
+  table_.drop(id);
+}
+
+void Server::report() {
+  reporting_ = reactor_.after(reportEvery, [this] { report(); });
+  const auto counts = std::exchange(counts_, {});
+  if (counts.read + counts.shed + counts.errored == 0) return;
+  log_.line(net::Matter::start, "in {} s: read {}, done {}, shed {}, errored {}, callers gone {}; in hand {}, "
+            "connections {}", std::chrono::duration_cast<std::chrono::seconds>(reportEvery).count(), counts.read,
+            counts.done, counts.shed, counts.errored, counts.left, table_.size(), clients_.open());
+}
+
+// Leaving: the module hears that it ends a little before the stop; late in it callers are asked to close their
+// connections, and the end comes once none is left, or just before the stop.
+void Server::leave() {
+  if (stopAt_) return;
+  stopAt_ = net::Reactor::Clock::now() + place_.stopAfter;
+  log_.line(net::Matter::drain, "told to leave within {} ms, {} reqs in hand",
+            std::chrono::duration_cast<std::chrono::milliseconds>(place_.stopAfter).count(), table_.size());
+  openModule(facts_.machine.cold, 0s);
+  tell(LeaveNotice{std::max<Span>(place_.stopAfter - endMargin, 0s)});
+  leaveStep();
+}
+
+void Server::leaveStep() {
+  leaving_ = reactor_.after(leaveStepEvery, [this] { leaveStep(); });
+  const auto left = *stopAt_ - net::Reactor::Clock::now();
+  if (left <= waveBefore && !std::exchange(waved_, true)) clients_.wave();
+  if ((waved_ && clients_.open() == 0) || left <= endMargin / 2) {
+    log_.line(net::Matter::drain, "leaves with {} reqs in hand, {} connections", table_.size(), clients_.open());
+    reactor_.stop();
+  }
+}
+
+}  // namespace rainhook::server
--- /dev/null
+++ b/src/server/server.h
@@ -0,0 +1,113 @@
+// One real server: what its peers tell becomes events, what the module asks for becomes actions of its peers.
+// It decides nothing. Everything read in one turn of the reactor is one batch.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "decision/decision.h"
+#include "facts/facts.h"
+#include "net/clients.h"
+#include "net/engine.h"
+#include "net/list.h"
+#include "net/log.h"
+#include "net/reactor.h"
+#include "net/servers.h"
+#include "server/table.h"
+
+namespace rainhook::server {
+
+// What the machine and its surroundings are, as the configuration tells.
+struct Place {
+  std::string name;
+  std::string listen, engine, list, next;  // host:port; next is empty in the last tier, list where there is none
+  Seed seed{};
+  Span stopAfter{};  // from the notice to leave to the end
+  std::size_t descriptors = 1024;
+};
+
+class Server final : net::Clients::Hearer, net::Engine::Hearer, net::Servers::Hearer {
+ public:
+  Server(net::Reactor& reactor, net::Log& log, const Place& place, const Facts& facts);
+
+  // Binds its address; throws Poco::Exception where that can't be had.
+  void open();
+  void leave();
+
+ private:
+  std::optional<ReqId> reqCame(net::ArrivedReq&& req) override;
+  void callerLeft(ReqId id) override;
+  void engineUp(bool cold, Span since) override;
+  void caughtUp() override;
+  void runEnded(const std::string& name, Outcome outcome, Span took, std::string&& result) override;
+  void callWanted(const std::string& name, std::uint64_t notice, std::string&& body) override;
+  void gauges(std::uint64_t question, const std::vector<double>& values) override;
+  void callEnded(ReqId id, Outcome outcome, Span took, std::string&& reply) override;
+
+  void openModule(bool cold, Span since);
+  void endTurn();
+  void perform(const Start& action);
+  void perform(const Shed& action);
+  void perform(const Fail& action);
+  void perform(const Stop& action);
+  void perform(const Call& action);
+  void perform(const SkipCall& action);
+  void perform(const Keep& action);
+  void perform(const Forget& action);
+  void perform(const AnswerFromFirst& action);
+  void perform(const SayHealth& action);
+  void perform(const SaySignal& action);
+  void perform(const CloseIdleAfter& action);
+  void perform(const SetTimer& action);
+  void perform(const Note& action);
+
+  void settled(ReqId id, InHand& req);
+  void firstEnded(ReqId first, Marks::End end, const std::string& result);
+  void answerFrom(ReqId id, InHand& req, Marks::End end, const std::string& result);
+  void sayAgain(InHand& req);
+  void ring(std::uint64_t question, const std::vector<double>& values);
+  void tell(Event event);
+  void report();
+  void leaveStep();
+  Span sinceOpened() const;
+
+  static constexpr Span gaugesWait = std::chrono::milliseconds(8), reportEvery = std::chrono::seconds(5),
+                        endMargin = std::chrono::milliseconds(150), waveBefore = std::chrono::milliseconds(700),
+                        leaveStepEvery = std::chrono::milliseconds(10);
+
+  net::Reactor& reactor_;
+  net::Log& log_;
+  const Place place_;
+  const Facts facts_;
+  net::BufferPool pool_;
+  net::Clients clients_;
+  net::Servers servers_;
+  net::Engine engine_;
+  std::unique_ptr<net::List> list_;
+  std::unique_ptr<Decision> module_;
+  Moment origin_{};  // the start that the module counts from
+  Table table_;
+  Marks marks_;
+  std::vector<Event> happened_;
+  std::uint32_t reqs_ = 0;
+  std::uint64_t questions_ = 0;
+  struct Ringing {
+    TimerId timer{};
+    net::Reactor::Timer late;
+  };
+  std::map<std::uint64_t, Ringing> ringing_;         // timers that wait for their gauges, for a short while
+  std::map<std::uint64_t, net::Reactor::Timer> set_;  // a timer leaves when it rings
+  std::uint64_t timers_ = 0;
+  struct Counts {
+    std::uint64_t read = 0, done = 0, shed = 0, errored = 0, left = 0;
+  } counts_;
+  net::Reactor::Timer again_, reporting_, leaving_;
+  std::optional<Moment> stopAt_;
+  bool waved_ = false;
+};
+
+}  // namespace rainhook::server
--- /dev/null
+++ b/src/server/table.cpp
@@ -0,0 +1,86 @@
+#include "server/table.h"
+
+namespace rainhook::server {
+
+InHand& Table::add(ReqId id, net::ArrivedReq&& req) {
+  names_.insert_or_assign(req.name, id);
+  InHand& entry = inHand_[id];
+  entry.req = std::move(req);
+  return entry;
+}
+
+InHand* Table::find(ReqId id) {
+  const auto it = inHand_.find(id);
+  return it == inHand_.end() ? nullptr : &it->second;
+}
+
+std::optional<ReqId> Table::named(const std::string& name) const {
+  const auto it = names_.find(name);
+  return it == names_.end() ? std::nullopt : std::optional(it->second);
+}
+
+void Table::drop(ReqId id) {
+  const auto it = inHand_.find(id);
+  if (it == inHand_.end()) return;
+  names_.erase(it->second.req.name);
+  inHand_.erase(it);
+}
+
+std::optional<Marks::Key> Marks::keyOf(const net::ArrivedReq& req,
+                                       const std::vector<HandlerTerms>& handlers) {
+  const auto effect = handlers[static_cast<std::size_t>(req.handler)].effect;
+  if (effect == Effect::uniqued && !req.mark.empty()) return Key{req.handler, req.mark, {}};
+  if (effect == Effect::replayable && req.subject != SubjectId{}) return Key{req.handler, {}, req.subject};
+  return std::nullopt;
+}
+
+std::optional<ReqId> Marks::holder(const Key& key, Moment now, Span shareFor) const {
+  const auto it = kept_.find(key);
+  if (it == kept_.end() || it->second.until <= now) return std::nullopt;
+  const Kept& kept = it->second;
+  const bool isRead = key.mark.empty();
+  if (isRead && kept.end != End::none && (kept.end != End::done || now - kept.endedAt > shareFor))
+    return std::nullopt;
+  return kept.holder;
+}
+
+void Marks::keep(const Key& key, ReqId id, Moment until) {
+  if (const auto it = kept_.find(key); it != kept_.end()) {
+    if (it->second.holder == id) {
+      it->second.until = until;
+      return;
+    }
+    keys_.erase(it->second.holder);
+  }
+  kept_.insert_or_assign(key, Kept{id, until, {}, End::none, {}});
+  keys_.insert_or_assign(id, key);
+}
+
+void Marks::forget(ReqId id) {
+  const auto it = keys_.find(id);
+  if (it == keys_.end()) return;
+  kept_.erase(it->second);
+  keys_.erase(it);
+}
+
+void Marks::ended(ReqId id, End end, Moment at, const std::string& result) {
+  const auto it = keys_.find(id);
+  if (it == keys_.end()) return;
+  Kept& kept = kept_.at(it->second);
+  kept.end = end, kept.endedAt = at, kept.result = result;
+}
+
+void Marks::expire(Moment now) {
+  std::erase_if(kept_, [&](const auto& entry) {
+    if (entry.second.until > now) return false;
+    keys_.erase(entry.second.holder);
+    return true;
+  });
+}
+
+const Marks::Kept* Marks::find(ReqId id) const {
+  const auto it = keys_.find(id);
+  return it == keys_.end() ? nullptr : &kept_.at(it->second);
+}
+
+}  // namespace rainhook::server
--- /dev/null
+++ b/src/server/table.h
@@ -0,0 +1,81 @@
+// The table of reqs in hand, and of the marks by which repeats are known. It decides nothing.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "decision/decision.h"
+#include "net/clients.h"
+#include "net/reactor.h"
+
+namespace rainhook::server {
+
+using Moment = net::Reactor::Clock::time_point;
+
+enum class Course { held, waitingForFirst, running, wantsCall, calling };
+
+struct InHand {
+  net::ArrivedReq req;
+  bool owed = true;
+  Course course = Course::held;
+  Moment since{};  // of the start, or of the wait for the first
+  // What the engine was told last and may not have read when its link broke.
+  enum class Said { nothing, launch, deliver, forgo } said = Said::nothing;
+  Moment saidAt{};
+  std::string reply;  // delivered, or the call's body while it is wanted
+  std::uint64_t notice = 0;
+  std::optional<ReqId> first;
+};
+
+class Table {
+ public:
+  InHand& add(ReqId id, net::ArrivedReq&& req);
+  InHand* find(ReqId id);
+  std::optional<ReqId> named(const std::string& name) const;
+  void drop(ReqId id);
+  bool empty() const { return inHand_.empty(); }
+  std::size_t size() const { return inHand_.size(); }
+  const std::map<ReqId, InHand>& all() const { return inHand_; }
+
+ private:
+  std::map<ReqId, InHand> inHand_;  // a req leaves when its answer and its run have both ended
+  std::map<std::string, ReqId> names_;
+};
+
+// What is remembered of kept reqs; an entry leaves when its time has passed or it is forgotten.
+class Marks {
+ public:
+  // Uniqued reqs are known by their mark, reads by their subject.
+  struct Key {
+    HandlerId handler{};
+    std::string mark;
+    SubjectId subject{};
+    auto operator<=>(const Key&) const = default;
+  };
+  enum class End { none, done, errored };
+
+  static std::optional<Key> keyOf(const net::ArrivedReq& req, const std::vector<HandlerTerms>& handlers);
+
+  // The kept req that one with this key repeats. A read repeats only what is under way, or ended well no longer
+  // ago than its answer may be shared.
+  std::optional<ReqId> holder(const Key& key, Moment now, Span shareFor) const;
+  void keep(const Key& key, ReqId id, Moment until);
+  void forget(ReqId id);
+  void ended(ReqId id, End end, Moment at, const std::string& result);
+  void expire(Moment now);
+  struct Kept {
+    ReqId holder{};
+    Moment until{}, endedAt{};
+    End end = End::none;
+    std::string result;
+  };
+  const Kept* find(ReqId id) const;
+
+ private:
+  std::map<Key, Kept> kept_;
+  std::map<ReqId, Key> keys_;
+};
+
+}  // namespace rainhook::server
--- a/src/simhost/host.cpp
+++ b/src/simhost/host.cpp
@@ -2,42 +2,15 @@
 
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace simhost {
-namespace {
-
-rainhook::TimerRang toModule(const Ring& ring, const std::vector<Gauge>& order) {
-  rainhook::TimerRang out;
-  out.timer = rainhook::TimerId{ring.token};
-  for (std::size_t i = 0; i < ring.gauges.size() && i < order.size(); ++i) {
-    const double value = static_cast<double>(ring.gauges[i]);
-    switch (order[i]) {
-      case Gauge::cpu:
-        out.cpu = value;
-        break;
-      case Gauge::wantingCore:
-        out.wantingCore = value;
-        break;
-      case Gauge::memory:
-        out.memory = value;
-        break;
-      case Gauge::connections:
-        out.connections = value;
-        break;
-      case Gauge::other:
-        break;
-    }
-  }
-  return out;
-}
-
-}  // namespace
 
 void Host::attach(InstanceNumber number, const Attach& attach, std::uint64_t clock) {
   Instance fresh;
-  fresh.facts = readFacts(attach.facts);
+  fresh.facts = rainhook::readFacts(rainhook::pairsOfText(attach.facts));
   fresh.startedAt = clock;
-  const Facts& f = fresh.facts;
+  const rainhook::Facts& f = fresh.facts;
   fresh.decision = rainhook::openDecision(rainhook::Seed{attach.seed}, f.machine, f.handlers, f.below,
                                           f.duties, f.voice, f.trade, f.fleet);
   fresh.touched = true;
@@ -61,7 +34,9 @@
       instances_.erase(number);
     } else if (const auto* ring = std::get_if<Ring>(&event)) {
       Instance& instance = known(number);
-      instance.pending.emplace_back(toModule(*ring, instance.facts.gauges));
+      const std::vector<double> values(ring->gauges.begin(), ring->gauges.end());
+      instance.pending.emplace_back(
+          rainhook::timerRang(rainhook::TimerId{ring->token}, values, instance.facts.gauges));
     } else {
       Instance& instance = known(number);
       auto& plain = std::get<rainhook::Event>(event);
--- a/src/simhost/host.h
+++ b/src/simhost/host.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "decision/decision.h"
-#include "simhost/facts.h"
+#include "facts/facts.h"
 #include "simhost/wire.h"
 
 namespace simhost {
@@ -19,7 +19,7 @@
 
  private:
   struct Instance {
-    Facts facts;
+    rainhook::Facts facts;
     std::uint64_t startedAt = 0;
     std::unique_ptr<rainhook::Decision> decision;
     std::vector<rainhook::Event> pending;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -8,6 +8,9 @@
 namespace simhost {
 namespace {
 
+using rainhook::Facts;
+using rainhook::Gauge;
+
 std::vector<std::byte> bytes(std::string_view hex) {
   std::vector<std::byte> out;
   for (std::size_t i = 0; i + 1 < hex.size(); i += 2)
@@ -61,6 +64,8 @@
                   "74776f207365727665727320756e6b6e6f776e5a03000000803e510300192b6f0e80b2e60e0000000001"));
 }
 
+Facts readFacts(std::string_view text) { return rainhook::readFacts(rainhook::pairsOfText(text)); }
+
 TEST(Facts, ReadsWordsAndKeepsStatedMeaningsOfAbsentOnes) {
   const auto facts = readFacts(
       "classes.count=1\nclasses.0.effect=guarded\nclasses.0.aimNs=5\ndomain.halt=pause\nunknown.key=x\n"
@@ -78,7 +83,7 @@
 TEST(Facts, RefusesWhatIsNoNumberOrNoKnownWord) {
   for (const char* bad : {"domain.cores=six", "domain.cores=1.5", "domain.memoryKb=nan", "domain.halt=maybe",
                           "domain.cold=perhaps", "invariants.fallNs=-5", "no sign", "classes.count=-1"})
-    EXPECT_THROW(readFacts(bad), WireError) << bad;
+    EXPECT_THROW(readFacts(bad), rainhook::FactsError) << bad;
 }
 
 TEST(Host, ANumberMayEndAndStartInOneBatch) {
