End an interest in writing for good, and ask the module as soon as the engine is up

A trace showed epoll_wait returning at once with EPOLLOUT on the link to the engine and no handler for it. POCO 1.11 asks epoll anew when a handler is added or the last one is removed, not when one of several is; connection.cpp renewInterest() does it after each removal. The same trace showed no tick of the module before the first req: the timer that stood for its first question rang before the turn's end heard of it.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -51,14 +51,20 @@
 }
 
 void Connection::wantReading(bool wanted) {
-  if (wanted == reading_) return;
-  reading_ = wanted;
+  if (std::exchange(reading_, wanted) == wanted) return;
   wanted ? reactor_.addEventHandler(socket_, onRead_) : reactor_.removeEventHandler(socket_, onRead_);
+  if (!wanted) renewInterest();
 }
 void Connection::wantWriting(bool wanted) {
-  if (wanted == writing_) return;
-  writing_ = wanted;
+  if (std::exchange(writing_, wanted) == wanted) return;
   wanted ? reactor_.addEventHandler(socket_, onWrite_) : reactor_.removeEventHandler(socket_, onWrite_);
+  if (!wanted) renewInterest();
+}
+// POCO's reactor asks the system anew when a handler is added, but not when one of several is removed: without
+// this an interest that ended would ring on in every turn.
+void Connection::renewInterest() {
+  reactor_.removeEventHandler(socket_, onError_);
+  reactor_.addEventHandler(socket_, onError_);
 }
 
 void Connection::listenWith(Callbacks callbacks) {
@@ -189,8 +195,8 @@
 void Connection::close() {
   late_.cancel();
   if (state_ != State::closed) {
-    wantReading(false);
-    wantWriting(false);
+    if (std::exchange(reading_, false)) reactor_.removeEventHandler(socket_, onRead_);
+    if (std::exchange(writing_, false)) reactor_.removeEventHandler(socket_, onWrite_);
     if (watched_) reactor_.removeEventHandler(socket_, onError_);
     socket_.close();
   }
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -71,6 +71,7 @@
   void end(Ending how, const std::string& why);
   void wantReading(bool wanted);
   void wantWriting(bool wanted);
+  void renewInterest();
   void flushLater();
 
   static constexpr int readsATurn = 4;
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -42,7 +42,7 @@
 }
 
 void List::settle(bool counted, const std::string& why) {
-  if (!counted) log_.line(Matter::list, "a report to the list did not count: {}", why);
+  if (!counted && reached_) log_.line(Matter::list, "a report to the list did not count: {}", why);
   if (counted && !reached_) log_.line(Matter::list, "the list is reached again");
   reached_ = counted;
   asked_ = false;
--- a/src/net/reactor.h
+++ b/src/net/reactor.h
@@ -31,8 +31,6 @@
       return *this;
     }
     ~Timer() { cancel(); }
-    // Whether it waits no longer; also after it has rung.
-    bool rang() const { return !reactor_ || !reactor_->timers_.contains(key_); }
     void cancel() {
       if (auto* reactor = std::exchange(reactor_, nullptr)) reactor->timers_.erase(key_);
     }
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -46,7 +46,7 @@
   machine.cold = cold;
   module_ = openDecision(place_.seed, machine, facts_.handlers, facts_.below, facts_.duties, facts_.voice,
                          facts_.trade, facts_.fleet);
-  again_ = reactor_.after(0s, [] {});
+  fresh_ = true;
 }
 
 Span Server::sinceOpened() const { return net::Reactor::Clock::now() - origin_; }
@@ -54,8 +54,7 @@
 void Server::tell(Event event) { happened_.push_back(std::move(event)); }
 
 void Server::endTurn() {
-  if (!module_ || (happened_.empty() && again_.rang())) return;
-  again_ = {};
+  if (!module_ || (happened_.empty() && !std::exchange(fresh_, false))) return;
   marks_.expire(net::Reactor::Clock::now());
   const auto happened = std::exchange(happened_, {});
   for (const auto& action : module_->decide(sinceOpened(), happened))
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -107,7 +107,7 @@
   } counts_;
   net::Reactor::Timer again_, reporting_, leaving_;
   std::optional<Moment> stopAt_;
-  bool waved_ = false;
+  bool fresh_ = false, waved_ = false;  // fresh: the module has not been asked yet
 };
 
 }  // namespace rainhook::server
