Keep a slow reader's connection, and test the server whole on loopback

Found by the new test of a caller that does not read: POCO 1.11 throws 'Operation would block' from sendBytes where a socket takes no more, so that connection.cpp send() ended the connection as broken and lost its answers. It now waits for room. Kernel buffers of accepted connections have a fixed size, so that memory stays bounded.

Tests of parsers, of each peer and of a req's whole path, cancel, drain, link loss and call failures.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,13 +1,16 @@
-// The command line of the server.
+// The command line: serve, check, version, help.
+#include <Poco/Exception.h>
+#include <fmt/format.h>
 #include <signal.h>
 
 #include <boost/program_options.hpp>
+#include <cstdio>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
 
-#include "facts/facts.h"
+#include "facts/place.h"
 #include "net/log.h"
 #include "net/reactor.h"
 #include "server/server.h"
@@ -15,51 +18,113 @@
 namespace {
 
 using namespace rainhook;
+namespace po = boost::program_options;
 
-struct Given {
-  server::Place place;
-  Facts facts;
-};
+enum Status { fine = 0, cannotServe = 1, misused = 2 };
 
-Given read(const std::string& file) {
-  std::ifstream in(file);
-  if (!in) throw FactsError("the configuration can't be read: " + file);
-  const auto json = nlohmann::json::parse(in);
-  Given given;
-  server::Place& place = given.place;
-  place.name = json.at("name").get<std::string>();
-  place.listen = json.at("listen").get<std::string>();
-  place.engine = json.at("agent").get<std::string>();
-  place.list = json.value("roster", "");
-  place.next = json.value("backend", "");
-  place.seed = Seed{std::stoull(json.value("seed", "0"), nullptr, 16)};
-  place.stopAfter = std::chrono::milliseconds(json.value("stop_ms", 3000));
-  if (const auto limits = json.find("limits"); limits != json.end())
-    place.descriptors = limits->value("sockets", place.descriptors);
-  given.facts = readFacts(pairsOfJson(json.at("settings")));
-  return given;
+constexpr const char* usage = R"(usage: rainhook COMMAND [options]
+
+  serve    serve until told to leave (SIGTERM or SIGINT)
+  check    say what a configuration holds, or what is wrong with it
+  version  say which version this is
+  help     this page, or with a command's name that command's options
+)";
+
+int advise(const std::string& fault) {
+  fmt::print(stderr, "rainhook: {}; try 'rainhook help'\n", fault);
+  return misused;
+}
+
+po::options_description optionsOf(const std::string& command) {
+  po::options_description options("options of " + command);
+  if (command == "serve" || command == "check") {
+    const char* file = std::getenv("GW_CONFIG");
+    options.add_options()("config", po::value<std::string>()->default_value(file ? file : ""),
+                          "the configuration, a JSON file; where absent the one that GW_CONFIG names");
+  }
+  options.add_options()("help", "this page");
+  return options;
 }
 
-int serve(const std::string& file) {
+int serve(const Configured& configured) {
   net::Log log;
-  const Given given = read(file);
   signal(SIGPIPE, SIG_IGN);
   net::Reactor reactor;
-  server::Server server(reactor, log, given.place, given.facts);
+  server::Server server(reactor, log, configured.place, configured.facts);
   reactor.onSignals({SIGTERM, SIGINT}, [&](int) { server.leave(); });
-  server.open();
+  try {
+    server.open();
+  } catch (const Poco::Exception& error) {
+    fmt::print(stderr, "rainhook: can't listen at {}: {}\n", configured.place.listen, error.displayText());
+    return cannotServe;
+  }
   reactor.run();
-  return 0;
+  return fine;
+}
+
+int check(const Configured& configured) {
+  const auto& [place, facts] = configured;
+  const auto or_ = [](const std::string& address) { return address.empty() ? "none" : address; };
+  fmt::print("{} listens at {}; engine {}, list {}, next tier {}\n", place.name, place.listen, place.engine,
+             or_(place.list), or_(place.next));
+  fmt::print("limits: {} descriptors, {} MB; {} ms from the notice to leave to the stop\n", place.descriptors,
+             place.memoryMb, std::chrono::duration_cast<std::chrono::milliseconds>(place.stopAfter).count());
+  fmt::print("{} cores, {:.0f} kB for reqs, {} customers\n", facts.machine.cores, facts.machine.memoryKb,
+             facts.customerNames.size());
+  constexpr const char* effects[] = {"replayable", "uniqued", "non-replayable"};
+  for (std::size_t i = 0; i < facts.handlers.size(); ++i) {
+    const auto millis = [](Span span) {
+      return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+    };
+    const HandlerTerms& terms = facts.handlers[i];
+    fmt::print("handler {}: {}, response target {} ms, client timeout {} ms, value {}\n", facts.handlerNames[i],
+               effects[static_cast<std::size_t>(terms.effect)], millis(terms.responseTarget),
+               millis(terms.clientTimeout), terms.value);
+  }
+  return fine;
+}
+
+int help(const std::string& command) {
+  if (command != "serve" && command != "check")
+    fmt::print("{}", usage);
+  else
+    std::cout << "usage: rainhook " << command << " [options]\n\n" << optionsOf(command);
+  return fine;
+}
+
+int run(const std::vector<std::string>& words) {
+  const std::string command = words.empty() ? "" : words.front();
+  const std::vector<std::string> rest(words.empty() ? words.end() : words.begin() + 1, words.end());
+  if (command == "help" || command == "--help" || command == "-h") return help(rest.empty() ? "" : rest.front());
+  if (command != "serve" && command != "check" && command != "version")
+    return advise(command.empty() ? "no command is given" : "unknown command '" + command + "'");
+  po::variables_map given;
+  try {
+    po::store(po::command_line_parser(rest).options(optionsOf(command)).positional({}).run(), given);
+  } catch (const po::error& error) {
+    return advise(error.what());
+  }
+  if (given.count("help")) return help(command);
+  if (command == "version") {
+    fmt::print("rainhook {}\n", RAINHOOK_VERSION);
+    return fine;
+  }
+  try {
+    const auto configured = readConfigurationFile(given["config"].as<std::string>());
+    return command == "check" ? check(configured) : serve(configured);
+  } catch (const FactsError& error) {
+    fmt::print(stderr, "rainhook: {}\n", error.what());
+    return misused;
+  }
 }
 
 }  // namespace
 
-int main() {
-  const char* file = std::getenv("GW_CONFIG");
+int main(int count, char** words) {
   try {
-    return serve(file ? file : "");
+    return run({words + 1, words + count});
   } catch (const std::exception& error) {
-    std::cerr << "rainhook: " << error.what() << '\n';
-    return 2;
+    fmt::print(stderr, "rainhook: {}\n", error.what());
+    return cannotServe;
   }
 }
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -123,19 +123,22 @@
   Callbacks callbacks;
   callbacks.came = [this, id](std::string_view bytes) { return came(id, bytes); };
   callbacks.ended = [this, id](Ending how, const std::string& why) { left(id, how, why); };
+  callbacks.sent = [this, id] { readOn(id); };
   // Answers may still be read by a caller that sends no more: only a break says that it has gone.
   callbacks.halfClosed = [this, id] {
     Client& client = clients_.at(id);
     client.sendsNoMore = true;
     if (quiet(client)) left(id, Ending::closedByPeer, "closed");
   };
+  socket.setSendBufferSize(kernelHolds);
+  socket.setReceiveBufferSize(kernelHolds);
   client.connection = Connection::accepted(reactor_, pool_, std::move(socket), std::move(callbacks));
 }
 
 std::size_t Clients::came(ClientId id, std::string_view bytes) {
   Client& client = clients_.at(id);
   // A caller that does not read its answers, or sends far more than it may, is not read until it does.
-  if (client.connection->waiting() > mostWaiting || client.owed.size() >= mostOwed) {
+  if (full(client)) {
     client.connection->pause();
     return 0;
   }
@@ -146,6 +149,11 @@
   return frame->size;
 }
 
+void Clients::readOn(ClientId id) {
+  const auto it = clients_.find(id);
+  if (it != clients_.end() && !full(it->second)) it->second.connection->resume();
+}
+
 void Clients::message(ClientId id, const thrift::Message& message) {
   Client& client = clients_.at(id);
   if (message.kind == Kind::call && message.name == "call") return call(id, message);
@@ -322,8 +330,8 @@
   return client.owed.empty() && client.connection->waiting() == 0;
 }
 
-bool Clients::allSent() const {
-  return std::all_of(clients_.begin(), clients_.end(), [](const auto& entry) { return quiet(entry.second); });
+bool Clients::full(const Client& client) {
+  return client.connection->waiting() > mostWaiting || client.owed.size() >= mostOwed;
 }
 
 // A connection on which nothing is open may be closed at any time.
@@ -346,11 +354,10 @@
       over.push_back(id);
     else if (quiet(client) && idleAfter_ && now - client.usedAt > *idleAfter_)
       wave(client);
-    if (client.connection->waiting() <= mostWaiting && client.owed.size() < mostOwed) ready.push_back(id);
+    ready.push_back(id);
   }
   for (const ClientId id : over) left(id, Ending::closedByPeer, "idle");
-  for (const ClientId id : ready)
-    if (const auto it = clients_.find(id); it != clients_.end()) it->second.connection->resume();
+  for (const ClientId id : ready) readOn(id);
   if (listening_ && clients_.size() < mostOpen_) wantAccepting(true);
 }
 
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -55,6 +55,7 @@
   Clients(Reactor& reactor, BufferPool& pool, Log& log, Hearer& hearer, Names names, std::size_t mostOpen);
 
   void listen(const Poco::Net::SocketAddress& address);
+  Poco::Net::SocketAddress address() const { return listener_.address(); }
   void done(Ticket ticket, std::string_view result);
   void shed(Ticket ticket, Span stayAway, bool lastTry);
   void errored(Ticket ticket, std::string_view why);
@@ -64,7 +65,6 @@
   // No new connection is taken, and every caller is asked to leave once it has its answers.
   void wave();
   std::size_t open() const { return clients_.size(); }
-  bool allSent() const;
 
  private:
   struct Client {
@@ -86,11 +86,14 @@
   void answer(Ticket ticket, std::string message);
   void wave(Client& client);
   void sweep();
+  void readOn(ClientId id);
   static bool quiet(const Client& client);
+  static bool full(const Client& client);
   bool closeOneIdle();
   thrift::Fields spoken() const;
 
   static constexpr std::size_t longestFrame = 8 * 1024, mostWaiting = 32 * 1024, mostOwed = 64;
+  static constexpr int kernelHolds = 64 * 1024;
   static constexpr Span sweepEvery = std::chrono::milliseconds(100), waveLasts = std::chrono::seconds(1);
 
   Reactor& reactor_;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Exception.h>
 
+#include <cerrno>
 #include <cstring>
 
 namespace rainhook::net {
@@ -160,6 +161,8 @@
     }
     wantWriting(!out_.empty());
   } catch (const Poco::Exception& error) {
+    // POCO 1.11 throws where a socket takes no more for now; that breaks nothing.
+    if (error.code() == EAGAIN || error.code() == EWOULDBLOCK) return wantWriting(true);
     end(Ending::broken, error.displayText());
   }
 }
@@ -174,6 +177,8 @@
     if (const auto callbacks = callbacks_; callbacks->opened) callbacks->opened();
   }
   if (state_ == State::open) send();
+  if (state_ == State::open && out_.empty())
+    if (const auto callbacks = callbacks_; callbacks->sent) callbacks->sent();
 }
 
 void Connection::failed(const Poco::AutoPtr<Poco::Net::ErrorNotification>&) {
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "decision/decision.h"
-#include "facts/facts.h"
+#include "facts/place.h"
 #include "net/clients.h"
 #include "net/engine.h"
 #include "net/list.h"
@@ -21,21 +21,14 @@
 
 namespace rainhook::server {
 
-// What the machine and its surroundings are, as the configuration tells.
-struct Place {
-  std::string name;
-  std::string listen, engine, list, next;  // host:port; next is empty in the last tier, list where there is none
-  Seed seed{};
-  Span stopAfter{};  // from the notice to leave to the end
-  std::size_t descriptors = 1024;
-};
-
 class Server final : net::Clients::Hearer, net::Engine::Hearer, net::Servers::Hearer {
  public:
   Server(net::Reactor& reactor, net::Log& log, const Place& place, const Facts& facts);
 
   // Binds its address; throws Poco::Exception where that can't be had.
   void open();
+  Poco::Net::SocketAddress address() const { return clients_.address(); }
+  // The notice to leave; the reactor stops once all is answered.
   void leave();
 
  private:
--- /dev/null
+++ b/tests/server_test.cpp
@@ -0,0 +1,430 @@
+// The whole server on loopback against small stand-ins: a req's path, and what peers do wrong.
+#include <gtest/gtest.h>
+
+#include "world.h"
+
+namespace rainhook {
+namespace {
+
+using What = Answer::What;
+const std::string one = "00000000000000a1", two = "00000000000000a2", three = "00000000000000a3";
+
+TEST(ServerPath, AReqIsLaunchedWithItsBodyAndItsResultComesBackUnchanged) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  const std::string body("b\0\xff\n", 4), result("r\0\x80", 3);
+  client.ask(1, Balancer::fields(one), body);
+  const auto launch = w.command();
+  EXPECT_EQ(launch["msg"], "launch");
+  EXPECT_EQ(launch["call"], one);
+  EXPECT_EQ(launch["service"], "read");
+  EXPECT_EQ(net::jsonl::fromBase64(launch["blob"]), body);
+  w.ends(one, "ok", result);
+  const auto answer = client.answer();
+  EXPECT_EQ(answer.number, 1);
+  EXPECT_EQ(answer.what, What::done);
+  EXPECT_EQ(answer.body, result);
+  EXPECT_GT(std::stod(answer.fields.at("hint")), 0.5);
+}
+
+TEST(ServerPath, AnswersComeInAnyOrderAndAReqInPiecesIsRead) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  const auto both = Balancer::message(1, Balancer::fields(one), "x") +
+                    Balancer::message(2, Balancer::fields(two), "y");
+  for (const char c : both) client.say({&c, 1});
+  EXPECT_EQ(w.launched(), one);
+  EXPECT_EQ(w.launched(), two);
+  w.ends(two);
+  EXPECT_EQ(client.answer().number, 2);
+  w.ends(one, "failed");
+  const auto answer = client.answer();
+  EXPECT_EQ(answer.number, 1);
+  EXPECT_EQ(answer.what, What::errored);
+}
+
+TEST(ServerPath, ACancelledReqGetsNoAnswerAndOneThatIsHeldIsNotLaunched) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  client.cancel(77);  // never asked
+  client.ask(1, Balancer::fields(one));
+  client.ask(2, Balancer::fields(two));
+  client.ask(3, Balancer::fields(three));
+  w.launched(), w.launched();  // both cores are taken, the third is held
+  client.cancel(3);
+  client.cancel(1);
+  client.ask(4, Balancer::fields("00000000000000a4"));
+  w.ends(one), w.ends(two);
+  EXPECT_EQ(w.launched(), "00000000000000a4");
+  w.ends("00000000000000a4");
+  EXPECT_EQ(client.answer().number, 2);
+  EXPECT_EQ(client.answer().number, 4);
+}
+
+TEST(ServerPath, WhatIsGivenUpIsShedInTimeAndNotRun) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  auto fields = Balancer::fields(one);
+  fields["budget"] = "1";
+  client.ask(1, fields);
+  EXPECT_EQ(client.answer().what, What::shed);
+  // A run is no excuse: its answer comes by the due time.
+  fields = Balancer::fields(two);
+  fields["budget"] = "300";
+  const auto asked = std::chrono::steady_clock::now();
+  client.ask(2, fields);
+  EXPECT_EQ(w.launched(), two);
+  const auto answer = client.answer();
+  EXPECT_EQ(answer.number, 2);
+  EXPECT_NE(answer.what, What::done);
+  EXPECT_LT(std::chrono::steady_clock::now() - asked, 400ms);
+}
+
+TEST(ServerCalls, EveryReplyOfTheNextTierHasItsMeaning) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  client.ask(1, Balancer::fields(one));
+  EXPECT_EQ(w.launched(), one);
+  w.wantsCall(one, "please");
+  auto next = Line::accept(w.nextAt);
+  auto asked = next.hear(Asked::read);
+  ASSERT_TRUE(asked);
+  EXPECT_TRUE(asked->head.starts_with("POST /rpc/call HTTP/1.1\r\n"));
+  EXPECT_NE(asked->head.find("Parent-Call: " + one), std::string::npos);
+  EXPECT_NE(asked->head.find("Deadline-Ms: "), std::string::npos);
+  EXPECT_EQ(asked->body, "please");
+  next.say("HTTP/1.1 503 Busy\r\nTurned-Away: 1\r\nContent-Length: 0\r\n\r\n");  // it never ran: called again
+  asked = next.hear(Asked::read);
+  ASSERT_TRUE(asked);
+  EXPECT_EQ(asked->body, "please");
+  next.say(Peers::response("200 OK", "reply"));
+  const auto deliver = w.command();
+  EXPECT_EQ(deliver["msg"], "deliver");
+  EXPECT_EQ(net::jsonl::fromBase64(deliver["blob"]), "reply");
+  w.wantsCall(one, "again");
+  ASSERT_TRUE(next.hear(Asked::read));  // on the kept connection
+  next.closeHard();                     // it may have run; a replayable req calls again
+  next = Line::accept(w.nextAt);
+  ASSERT_TRUE(next.hear(Asked::read));
+  next.say(Peers::response("500 No"));  // twice is enough: the req is given up
+  EXPECT_EQ(client.answer().what, What::shed);
+}
+
+TEST(ServerCalls, ACallOfAUniquedReqIsNotRepeatedUnlessItProvablyDidNotRun) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  auto fields = Balancer::fields(one, "pay");
+  fields["token"] = "t1";
+  client.ask(1, fields);
+  EXPECT_EQ(w.launched(), one);
+  w.wantsCall(one, "pay it");
+  auto next = Line::accept(w.nextAt);
+  ASSERT_TRUE(next.hear(Asked::read));
+  next.say("HTTP/1.1 409 No\r\nTurned-Away: 1\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(next.hear(Asked::read));
+  next.close();
+  EXPECT_EQ(client.answer().what, What::errored);
+  EXPECT_FALSE(w.nextAt.poll(Poco::Timespan(100000), Poco::Net::Socket::SELECT_READ));
+}
+
+TEST(ServerCalls, ACallIsGivenUpByClosingWhenItsReqIsOver) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  client.ask(1, Balancer::fields(one));
+  EXPECT_EQ(w.launched(), one);
+  w.wantsCall(one, "please");
+  auto next = Line::accept(w.nextAt);
+  ASSERT_TRUE(next.hear(Asked::read));
+  client.cancel(1);
+  EXPECT_TRUE(next.endsNow());
+}
+
+TEST(ServerCalls, ATierThatCantBeReachedEndsTheReqAndNothingElse) {
+  Peers w;
+  w.nextAt.close();
+  w.nextAt = Poco::Net::ServerSocket(Poco::Net::SocketAddress("127.0.0.1", 0));
+  w.start();
+  w.nextAt.close();
+  auto client = w.balancer();
+  client.ask(1, Balancer::fields(one));
+  EXPECT_EQ(w.launched(), one);
+  w.wantsCall(one, "please");
+  EXPECT_EQ(client.answer().what, What::shed);
+  w.ends(one, "halted", "");
+  client.ask(2, Balancer::fields(two));
+  EXPECT_EQ(w.launched(), two);
+}
+
+TEST(ServerRepeats, AUniquedReqRunsOnceAndItsRepeatIsAnsweredFromTheFirst) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  const auto pay = [&](std::int32_t number, const std::string& rid) {
+    auto fields = Balancer::fields(rid, "pay");
+    fields["token"] = "t1";
+    client.ask(number, fields);
+  };
+  pay(1, one);
+  EXPECT_EQ(w.launched(), one);
+  pay(2, two);  // while the first runs
+  w.ends(one, "ok", "paid");
+  std::map<std::int32_t, std::string> answers;
+  for (int i = 0; i < 2; ++i) {
+    const auto answer = client.answer();
+    answers[answer.number] = answer.body;
+  }
+  pay(3, three);  // after it has ended
+  answers[client.answer().number] += "paid";
+  EXPECT_EQ(answers, (std::map<std::int32_t, std::string>{{1, "paid"}, {2, "paid"}, {3, "paid"}}));
+  client.ask(4, Balancer::fields("00000000000000a4"));
+  EXPECT_EQ(w.launched(), "00000000000000a4");  // nothing else was launched in between
+}
+
+TEST(ServerRepeats, AReadOfTheSameSubjectSharesTheAnswerUnderWay) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  auto fields = Balancer::fields(one);
+  fields["obj"] = "7f3a9c21e0b4d655";
+  client.ask(1, fields);
+  EXPECT_EQ(w.launched(), one);
+  fields["rid"] = two;
+  client.ask(2, fields);
+  client.health();
+  EXPECT_EQ(client.answer().what, What::good);  // the second has been read
+  w.ends(one, "ok", "shared");
+  EXPECT_EQ(client.answer().body, "shared");
+  EXPECT_EQ(client.answer().body, "shared");
+}
+
+TEST(ServerEngine, ABrokenLinkLosesAndDoublesNothing) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  client.ask(1, Balancer::fields(one));
+  EXPECT_EQ(w.launched(), one);
+  w.ends(one);
+  EXPECT_EQ(client.answer().what, What::done);
+  client.ask(2, Balancer::fields(two));
+  EXPECT_EQ(w.launched(), two);
+  w.engine.closeHard();
+  EXPECT_EQ(w.link(), 1u);  // the last notice that was read
+  --w.notices;
+  w.ends(one);  // said again: no second answer
+  EXPECT_EQ(w.launched(), two);  // it may not have been read
+  w.ends(two);
+  EXPECT_EQ(client.answer().number, 2);
+  client.health();
+  EXPECT_EQ(client.answer().what, What::good);
+}
+
+// A run that must not be doubled and may have been lost with the link is told as errored, never launched again.
+TEST(ServerEngine, AUniquedRunIsNotLaunchedAgainOnADoubt) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  auto fields = Balancer::fields(one, "pay");
+  fields["token"] = "t1";
+  client.ask(1, fields);
+  EXPECT_EQ(w.launched(), one);
+  w.engine.closeHard();
+  w.link();
+  client.ask(2, Balancer::fields(two));
+  EXPECT_EQ(w.launched(), two);
+  EXPECT_EQ(client.answer().what, What::errored);
+}
+
+TEST(ServerEngine, MayComeUpLateAndNonsenseRenewsTheLink) {
+  Peers w;
+  w.start(false);
+  auto client = w.balancer();
+  client.health();
+  EXPECT_EQ(client.answer().what, What::good);
+  EXPECT_EQ(w.link("cold"), 0u);
+  w.engine.say("no json\n");
+  EXPECT_TRUE(w.engine.endsNow());
+  EXPECT_EQ(w.link(), 0u);
+  w.tell({{"msg", "refusal"}, {"how", "launch"}, {"call", "?"}});
+  w.tell({{"msg", "aside"}, {"serial", ++w.notices}, {"how", "hello"}});
+  w.ends("0000000000000000");  // of a req that is not in hand
+  client.ask(1, Balancer::fields(one));
+  EXPECT_EQ(w.launched(), one);
+}
+
+TEST(ServerClients, NonsenseClosesItsConnectionAlone) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  client.ask(1, Balancer::fields(one));
+  EXPECT_EQ(w.launched(), one);
+  for (const std::string& bad : {std::string("GET / HTTP/1.1\r\n\r\n"), std::string("\0\1\0\0", 4),
+                                std::string("\0\0\0\14\x80\x02\0\1\0\0\0\0\0\0\0\1", 16),
+                                Balancer::message(1, Balancer::fields(two), "x").replace(20, 1, "\x63")}) {
+    auto other = w.balancer();
+    other.say(bad);
+    EXPECT_TRUE(other.endsNow());
+  }
+  w.ends(one);
+  EXPECT_EQ(client.answer().what, What::done);
+}
+
+TEST(ServerClients, AReqThatCantBeServedIsSaidSoAndTheConnectionGoesOn) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  std::int32_t number = 0;
+  const auto refused = [&](const char* field, const char* value) {
+    auto fields = Balancer::fields(two);
+    fields.erase(field);
+    if (value) fields[field] = value;
+    client.ask(++number, fields);
+    const auto answer = client.answer();
+    return answer.what == What::exception && answer.number == number;
+  };
+  for (const char* field : {"method", "rid", "t0", "peer", "acct", "budget", "mem", "prio"})
+    EXPECT_TRUE(refused(field, nullptr)) << field;
+  for (const auto& [field, value] : std::map<const char*, const char*>{
+           {"method", "nope"}, {"rid", "xyz"}, {"t0", "-1"}, {"peer", "70000"}, {"acct", "nobody"},
+           {"budget", "1e3"}, {"mem", "0"}, {"prio", "nan"}, {"obj", "zz"}})
+    EXPECT_TRUE(refused(field, value)) << field;
+  client.say(net::thrift::Writer(net::thrift::Kind::call, "dance", 50).stop().whole());
+  EXPECT_EQ(client.answer().what, What::exception);
+  client.ask(60, Balancer::fields(two), std::string(2049, 'x'));
+  EXPECT_EQ(client.answer().what, What::exception);
+  client.ask(61, Balancer::fields(one), std::string(2048, 'x'));
+  EXPECT_EQ(w.launched(), one);
+  client.ask(61, Balancer::fields(two));  // a number that is open already
+  client.ask(62, Balancer::fields(one));  // a name that is in hand already
+  EXPECT_EQ(client.answer().number, 62);
+  w.ends(one);
+  EXPECT_EQ(client.answer().number, 61);
+  client.health();
+  EXPECT_EQ(client.answer().what, What::good);
+}
+
+TEST(ServerClients, ACallerThatSendsNoMoreStillGetsItsAnswer) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  client.ask(1, Balancer::fields(one));
+  client.socket().shutdownSend();
+  EXPECT_EQ(w.launched(), one);
+  w.ends(one);
+  EXPECT_EQ(client.answer().what, What::done);
+  EXPECT_TRUE(client.endsNow());
+}
+
+// A caller that does not read its answers is not read either, so that what waits for it stays bounded.
+TEST(ServerClients, ACallerThatDoesNotReadIsNotReadUntilItDoes) {
+  Peers w;
+  w.start();
+  auto slow = w.balancer(), client = w.balancer();
+  slow.socket().setReceiveBufferSize(64 << 10);
+  slow.socket().setSendBufferSize(64 << 10);
+  slow.socket().setBlocking(false);
+  const auto bad = Balancer::message(1, {}, "");
+  std::size_t sent = 0;
+  constexpr std::size_t most = 16 << 20;
+  for (int idle = 0; idle < 20 && sent < most; ++idle) {
+    try {
+      const auto rest = std::string_view(bad).substr(sent % bad.size());
+      sent += static_cast<std::size_t>(slow.socket().sendBytes(rest.data(), static_cast<int>(rest.size())));
+      idle = 0;
+    } catch (const Poco::Exception&) {  // it takes no more for now
+      std::this_thread::sleep_for(10ms);
+    }
+  }
+  EXPECT_LT(sent, most);
+  client.health();
+  EXPECT_EQ(client.answer().what, What::good);
+  slow.socket().setBlocking(true);
+  ASSERT_GT(sent, bad.size());
+  for (std::size_t i = 0; i < sent / bad.size(); ++i) ASSERT_EQ(slow.answer().what, What::exception) << i;
+}
+
+TEST(ServerClients, OutOfDescriptorsAnIdleConnectionGivesWay) {
+  Peers w;
+  w.place.descriptors = 8;  // six for balancers
+  w.start();
+  std::vector<Balancer> clients;
+  for (int i = 0; i < 12; ++i) {
+    clients.push_back(w.balancer());
+    clients.back().health();
+    EXPECT_EQ(clients.back().answer().what, What::good) << i;
+  }
+  EXPECT_TRUE(clients.front().endsNow());
+}
+
+TEST(ServerList, ReportsAtOnceAgainAndAfterTheListWasGone) {
+  Peers w;
+  w.start();
+  auto list = Line::accept(w.listAt);
+  for (int i = 0; i < 2; ++i) {
+    const auto asked = list.hear(Asked::read);
+    ASSERT_TRUE(asked);
+    EXPECT_TRUE(asked->head.starts_with("PUT /roster/n3 HTTP/1.1\r\n"));
+    EXPECT_EQ(asked->body, R"({"duty":"on"})");
+    list.say("HTTP/1.1 204 No Content\r\n\r\n");
+  }
+  list.closeHard();
+  list = Line::accept(w.listAt);
+  ASSERT_TRUE(list.hear(Asked::read));
+  list.say("nonsense, nonsense\r\n");
+  list = Line::accept(w.listAt);
+  EXPECT_TRUE(list.hear(Asked::read));
+}
+
+TEST(ServerDrain, AnswersAllRunsNothingPastTheGraceAndEnds) {
+  Peers w;
+  w.start();
+  auto list = Line::accept(w.listAt);
+  ASSERT_TRUE(list.hear(Asked::read));
+  list.say("HTTP/1.1 204 No Content\r\n\r\n");
+  auto client = w.balancer();
+  client.ask(1, Balancer::fields(one));
+  EXPECT_EQ(w.launched(), one);
+  const auto told = std::chrono::steady_clock::now();
+  ::kill(::getpid(), SIGTERM);
+  auto asked = list.hear(Asked::read);
+  while (asked && asked->body == R"({"duty":"on"})") {
+    list.say("HTTP/1.1 204 No Content\r\n\r\n");
+    asked = list.hear(Asked::read);
+  }
+  ASSERT_TRUE(asked);
+  EXPECT_EQ(asked->body, R"({"duty":"off"})");
+  client.health();
+  EXPECT_EQ(client.answer().what, What::bad);
+  std::this_thread::sleep_until(told + 400ms);  // past the grace of 300 ms
+  client.ask(2, Balancer::fields(two));
+  EXPECT_EQ(client.answer().what, What::shed);
+  EXPECT_EQ(client.answer().what, What::closing);
+  w.ends(one);
+  EXPECT_EQ(client.answer().what, What::done);
+  client.close();
+  w.waitForEnd();
+  EXPECT_LT(std::chrono::steady_clock::now() - told, w.place.stopAfter);
+}
+
+TEST(ServerDrain, WhatStillRunsIsAnsweredBeforeTheStop) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  client.ask(1, Balancer::fields(one));
+  EXPECT_EQ(w.launched(), one);
+  const auto told = std::chrono::steady_clock::now();
+  ::kill(::getpid(), SIGTERM);
+  EXPECT_EQ(client.answer().what, What::closing);
+  EXPECT_EQ(client.answer().what, What::shed);
+  w.waitForEnd();
+  EXPECT_LT(std::chrono::steady_clock::now() - told, w.place.stopAfter);
+}
+
+}  // namespace
+}  // namespace rainhook
--- a/tests/world.h
+++ b/tests/world.h
@@ -1,15 +1,26 @@
-// A slow, plain model of one server's surroundings and of the four rules. It hands the module events, carries
-// out what the module asks for and writes down every rule that breaks. Used by all tests of the module.
+// What the tests share. World is a slow, plain model of one server's surroundings and of the four rules: it hands
+// the module events, carries out what the module asks for and writes down every rule that breaks. Peers are small
+// stand-ins on loopback for all that a real server speaks with.
 #pragma once
 
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <signal.h>
+
 #include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "decision/decision.h"
+#include "net/http.h"
+#include "net/jsonl.h"
+#include "net/thrift.h"
+#include "server/server.h"
 
 namespace rainhook {
 
@@ -234,4 +245,219 @@
   }
 };
 
+// One connection to the server under test, spoken on in steps that wait, but not for ever.
+class Line {
+ public:
+  static constexpr int patienceMs = 4000;
+  Line() = default;
+  explicit Line(Poco::Net::StreamSocket socket) : socket_(std::move(socket)) {
+    socket_.setReceiveTimeout(Poco::Timespan(patienceMs * 1000));
+  }
+  static Line accept(Poco::Net::ServerSocket& at) {
+    if (!at.poll(Poco::Timespan(patienceMs * 1000), Poco::Net::Socket::SELECT_READ)) return {};
+    return Line(at.acceptConnection());
+  }
+  void say(std::string_view bytes) {
+    while (!bytes.empty())
+      bytes.remove_prefix(static_cast<std::size_t>(socket_.sendBytes(bytes.data(), static_cast<int>(bytes.size()))));
+  }
+  // Takes what `parse` makes of the bytes so far: anything with a `size`; nothing at the end of the connection.
+  template <typename Parse>
+  auto hear(Parse parse) -> decltype(parse(std::string_view())) {
+    for (;;) {
+      if (auto heard = parse(std::string_view(bytes_))) {
+        bytes_.erase(0, heard->size);
+        return heard;
+      }
+      if (!more()) return std::nullopt;
+    }
+  }
+  bool endsNow() {
+    while (more()) {
+    }
+    return ended_;
+  }
+  void close() { socket_.close(); }
+  void closeHard() {
+    socket_.setLinger(true, 0);
+    socket_.close();
+  }
+  Poco::Net::StreamSocket& socket() { return socket_; }
+
+ private:
+  bool more() {
+    char part[4096];
+    try {
+      const int got = socket_.receiveBytes(part, sizeof part);
+      ended_ = got <= 0;
+      bytes_.append(part, static_cast<std::size_t>(std::max(got, 0)));
+    } catch (const Poco::TimeoutException&) {
+      return false;
+    } catch (const Poco::Exception&) {
+      ended_ = true;
+    }
+    return !ended_;
+  }
+  Poco::Net::StreamSocket socket_;
+  std::string bytes_;
+  bool ended_ = false;
+};
+
+// An answer as a balancer reads it.
+struct Answer {
+  std::int32_t number = 0;
+  enum class What { none, done, shed, errored, exception, closing, good, bad } what = What::none;
+  std::string body;
+  net::thrift::Fields fields;
+  std::size_t size = 0;
+};
+
+// A balancer's connection.
+class Balancer : public Line {
+ public:
+  using Line::Line;
+  static net::thrift::Fields fields(const std::string& rid, const std::string& method = "read") {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return {{"method", method}, {"rid", rid}, {"peer", "4"}, {"acct", "acme"}, {"budget", "3000"},
+            {"mem", "24.5"}, {"prio", "0.6250"},
+            {"t0", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now).count())}};
+  }
+  static std::string message(std::int32_t number, const net::thrift::Fields& fields, std::string_view body) {
+    using net::thrift::Type;
+    return net::thrift::Writer(net::thrift::Kind::call, "call", number)
+        .field(1, Type::map).fields(fields).field(2, Type::text).text(body).stop().whole();
+  }
+  void ask(std::int32_t number, const net::thrift::Fields& fields, std::string_view body = "body") {
+    say(message(number, fields, body));
+  }
+  void cancel(std::int32_t number) {
+    say(net::thrift::Writer(net::thrift::Kind::oneway, "cancel", 99)
+            .field(1, net::thrift::Type::i32).i32(number).stop().whole());
+  }
+  void health() {
+    say(net::thrift::Writer(net::thrift::Kind::call, "health", 1)
+            .field(1, net::thrift::Type::boolean).boolean(false).stop().whole());
+  }
+  Answer answer() {
+    const auto heard = hear([](std::string_view bytes) -> std::optional<Answer> {
+      const auto frame = net::thrift::readFrame(bytes, 1 << 20);
+      if (!frame) return std::nullopt;
+      const auto message = net::thrift::readMessage(frame->content);
+      Answer out;
+      out.number = message.sequence, out.size = frame->size;
+      if (message.name == "closing") out.what = Answer::What::closing;
+      if (message.kind == net::thrift::Kind::exception) out.what = Answer::What::exception;
+      if (message.kind != net::thrift::Kind::reply) return out;
+      constexpr Answer::What kinds[] = {Answer::What::done, Answer::What::shed, Answer::What::errored};
+      net::thrift::Reader(message.body).structure([&](std::int16_t kind, auto, net::thrift::Reader& in) {
+        out.what = kinds[kind];
+        in.structure([&](std::int16_t, net::thrift::Type type, net::thrift::Reader& value) {
+          if (type == net::thrift::Type::text) return out.body = value.text(), true;
+          if (type == net::thrift::Type::map) return out.fields = value.fields(), true;
+          const bool good = value.byte() != 0;
+          if (message.name == "health") out.what = good ? Answer::What::good : Answer::What::bad;
+          return true;
+        });
+        return true;
+      });
+      return out;
+    });
+    return heard.value_or(Answer{});
+  }
+};
+
+// An HTTP request as the next tier or the list reads it.
+struct Asked {
+  std::string head, body;
+  std::size_t size = 0;
+  static std::optional<Asked> read(std::string_view bytes) {
+    const auto end = bytes.find("\r\n\r\n");
+    if (end == std::string_view::npos) return std::nullopt;
+    const auto length = std::stoul(std::string(bytes.substr(bytes.find("Content-Length: ") + 16)));
+    if (bytes.size() < end + 4 + length) return std::nullopt;
+    return Asked{std::string(bytes.substr(0, end)), std::string(bytes.substr(end + 4, length)), end + 4 + length};
+  }
+};
+
+// A server on a thread of its own, with its engine, next tier and list at hand.
+class Peers {
+ public:
+  nlohmann::json settings = nlohmann::json::parse(R"({"classes": [
+        {"name": "read", "aimNs": 1800000000, "hardLimitNs": 4500000000, "effect": "free"},
+        {"name": "pay", "aimNs": 1800000000, "hardLimitNs": 4500000000, "effect": "guarded",
+         "windowNs": 5000000000}],
+      "orgs": [{"name": "acme"}, {"name": "other"}], "servers": 3,
+      "domain": {"cores": 2, "memoryKb": 50000.0, "runFactor": 4.0, "keyKb": 1.0, "passesDeadline": true,
+                 "below": "tier", "classCalls": [true, true], "freshNs": 2000000000, "signal": "weight",
+                 "gauges": ["cpu_busy", "runnable", "mem_used", "sockets"]},
+      "invariants": {"stopSendingWithinNs": 300000000, "fallMultiple": 8.0},
+      "limits": {"retryAfter": true, "maxRetryAfterNs": 1000000000}})");
+  Place place;
+  Peers() { place.descriptors = 1024; }
+  Poco::Net::ServerSocket engineAt = any(), nextAt = any(), listAt = any();
+  Line engine;
+
+  ~Peers() { stop(); }
+  void start(bool engineUp = true) {
+    place.name = "n3", place.listen = "127.0.0.1:0", place.stopAfter = 1200ms;
+    place.engine = engineAt.address().toString(), place.next = nextAt.address().toString();
+    place.list = listAt.address().toString();
+    server_ = std::make_unique<server::Server>(reactor_, log_, place, readFacts(pairsOfJson(settings)));
+    reactor_.onSignals({SIGTERM}, [this](int) { server_->leave(); });
+    server_->open();
+    thread_ = std::thread([this] { reactor_.run(); });
+    if (engineUp) link();
+  }
+  void stop() {
+    reactor_.stop();
+    reactor_.wakeUp();
+    if (thread_.joinable()) thread_.join();
+    server_.reset();
+  }
+  void waitForEnd() { thread_.join(); }
+  Balancer balancer() { return Balancer(Poco::Net::StreamSocket(server_->address())); }
+
+  // Takes a new link, and says which notice was read last.
+  std::uint64_t link(const char* how = "warm") {
+    engine = Line::accept(engineAt);
+    const auto first = engine.hear(net::jsonl::readLine);
+    tell({{"msg", "greeting"}, {"how", how}, {"duration", 5.0}});
+    return first ? first->object.value("serial", std::uint64_t{99}) : 99;
+  }
+  void tell(const nlohmann::json& notice) { engine.say(net::jsonl::writeLine(notice)); }
+  // The next command that is no question; questions are answered.
+  nlohmann::json command() {
+    for (;;) {
+      const auto line = engine.hear(net::jsonl::readLine);
+      if (!line) return {{"msg", "none"}};
+      if (line->object["msg"] != "sample") return line->object;
+      tell({{"msg", "sampled"}, {"cookie", line->object["cookie"]}, {"stats", {0.5, 1, 0.1, 3}}});
+    }
+  }
+  std::string launched() {
+    const auto line = command();
+    return line.value("msg", "") == "launch" ? line.value("call", "") : line.dump();
+  }
+  std::uint64_t ends(const std::string& name, const char* how = "ok", std::string_view result = "result") {
+    tell({{"msg", "outcome"}, {"serial", ++notices}, {"call", name}, {"how", how}, {"duration", 12.5},
+          {"blob", net::jsonl::toBase64(result)}});
+    return notices;
+  }
+  void wantsCall(const std::string& name, std::string_view body) {
+    tell({{"msg", "request"}, {"serial", ++notices}, {"call", name}, {"blob", net::jsonl::toBase64(body)}});
+  }
+  static std::string response(const std::string& status, std::string_view body = "") {
+    return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           std::string(body);
+  }
+  std::uint64_t notices = 0;
+
+ private:
+  static Poco::Net::ServerSocket any() { return Poco::Net::ServerSocket(Poco::Net::SocketAddress("127.0.0.1", 0)); }
+  net::Reactor reactor_;
+  net::Log log_;
+  std::unique_ptr<server::Server> server_;
+  std::thread thread_;
+};
+
 }  // namespace rainhook
