Say again on the first link too what the engine could not have read

A req read before the engine was up was launched on no link, and was not launched once there was one. Every greeting is now followed by the same catching up, and a command that found no link is said however doubtful it would be otherwise.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -93,10 +93,10 @@
 void Connection::take(const std::function<void()>& reading) {
   try {
     reading();
-  } catch (const Nonsense& nonsense) {
-    return end(Ending::nonsense, nonsense.what());
   } catch (const Poco::Exception& error) {
     return end(Ending::broken, error.displayText());
+  } catch (const std::exception& nonsense) {  // whatever a peer's bytes may lead to ends its connection alone
+    return end(Ending::nonsense, nonsense.what());
   }
   if (in_ && from_ == to_) in_.reset();
 }
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -47,19 +47,19 @@
 }
 
 // While there is no link nothing is said: what still holds is said again once it has caught up.
-void Engine::say(const json& line) {
-  if (!greeted_ || !connection_) return;
-  if (connection_->waiting() > mostWaiting) return;
+bool Engine::say(const json& line) {
+  if (!greeted_ || connection_->waiting() > mostWaiting) return false;
   connection_->write(jsonl::writeLine(line));
+  return true;
 }
-void Engine::launch(const std::string& name, const std::string& handler, std::string_view body) {
-  say({{"msg", "launch"}, {"call", name}, {"service", handler}, {"blob", jsonl::toBase64(body)}});
+bool Engine::launch(const std::string& name, const std::string& handler, std::string_view body) {
+  return say({{"msg", "launch"}, {"call", name}, {"service", handler}, {"blob", jsonl::toBase64(body)}});
 }
-void Engine::deliver(const std::string& name, std::string_view reply) {
-  say({{"msg", "deliver"}, {"call", name}, {"blob", jsonl::toBase64(reply)}});
+bool Engine::deliver(const std::string& name, std::string_view reply) {
+  return say({{"msg", "deliver"}, {"call", name}, {"blob", jsonl::toBase64(reply)}});
 }
-void Engine::forgo(const std::string& name, std::uint64_t notice) {
-  say({{"msg", "forgo"}, {"call", name}, {"serial", notice}});
+bool Engine::forgo(const std::string& name, std::uint64_t notice) {
+  return say({{"msg", "forgo"}, {"call", name}, {"serial", notice}});
 }
 void Engine::ask(std::uint64_t question) {
   asked_ = question, askedAt_ = Reactor::Clock::now();
@@ -110,17 +110,11 @@
     if (question == asked_) readUntil_ = askedAt_;
     hearer_.gauges(question, values);
   } else if (kind == "greeting") {
-    greeted_ = true;
-    if (everUp_) {
-      log_.line(Matter::engine, "the link to the engine is made again");
-      catchingUp_ = true;
-      say({{"msg", "sample"}, {"cookie", catchUp}});
-    } else {
-      everUp_ = true;
-      log_.line(Matter::engine, "the engine is up, {}", how);
-      hearer_.engineUp(how == "cold", millis(line));
-    }
+    greeted_ = catchingUp_ = true;
     lostSaid_ = false;
+    log_.line(Matter::engine, "the link to the engine is up; it was {} when it started", how);
+    hearer_.engineUp(how == "cold", millis(line));
+    say({{"msg", "sample"}, {"cookie", catchUp}});
   } else if (kind == "refusal") {
     log_.line(Matter::engine, "the engine refused {} for {}", how, name);
   } else {
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -20,7 +20,7 @@
   struct Hearer {
     virtual ~Hearer() = default;
     virtual void engineUp(bool cold, Span since) = 0;
-    // The link was made anew, and every notice that had been missed has been taken.
+    // After each engineUp: every notice that had been missed has been taken.
     virtual void caughtUp() = 0;
     virtual void runEnded(const std::string& name, Outcome outcome, Span took, std::string&& result) = 0;
     virtual void callWanted(const std::string& name, std::uint64_t notice, std::string&& body) = 0;
@@ -30,9 +30,10 @@
   Engine(Reactor& reactor, BufferPool& pool, Log& log, Hearer& hearer, Connection::Address address);
 
   void connect();
-  void launch(const std::string& name, const std::string& handler, std::string_view body);
-  void deliver(const std::string& name, std::string_view reply);
-  void forgo(const std::string& name, std::uint64_t notice);
+  // False where there is no link to say it on.
+  bool launch(const std::string& name, const std::string& handler, std::string_view body);
+  bool deliver(const std::string& name, std::string_view reply);
+  bool forgo(const std::string& name, std::uint64_t notice);
   void ask(std::uint64_t question);
   // Whether what was said then has surely been read: a question asked later has been answered.
   bool surelyRead(Reactor::Clock::time_point said) const { return said < readUntil_; }
@@ -40,7 +41,7 @@
  private:
   void came(const nlohmann::json& line);
   bool fresh(const nlohmann::json& line);
-  void say(const nlohmann::json& line);
+  bool say(const nlohmann::json& line);
   void lost(const std::string& why);
 
   static constexpr Reactor::Wait again = std::chrono::milliseconds(50);
@@ -52,7 +53,7 @@
   Hearer& hearer_;
   const Connection::Address address_;
   std::shared_ptr<Connection> connection_;
-  bool greeted_ = false, catchingUp_ = false, everUp_ = false, lostSaid_ = false;
+  bool greeted_ = false, catchingUp_ = false, lostSaid_ = false;
   std::uint64_t lastNotice_ = 0, asked_ = 0;
   Reactor::Clock::time_point askedAt_{}, readUntil_{};
   Reactor::Timer retry_;
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -144,30 +144,35 @@
   }
   req->course = Course::running;
   req->reply = std::move(reply);
-  req->said = InHand::Said::deliver;
-  req->saidAt = net::Reactor::Clock::now();
-  engine_.deliver(req->req.name, req->reply);
+  say(*req, InHand::Said::deliver);
 }
 
-// The link broke and was made again. What the engine may not have read is said again, and where a run may have
-// ended unseen that must not run twice, it is over: its caller hears that it may have run.
+void Server::say(InHand& req, InHand::Said what) {
+  const std::string& name = req.req.name;
+  req.said = what;
+  req.saidAt = net::Reactor::Clock::now();
+  if (what == InHand::Said::launch)
+    req.sent = engine_.launch(name, facts_.handlerNames[static_cast<std::size_t>(req.req.handler)], req.req.body);
+  if (what == InHand::Said::deliver) req.sent = engine_.deliver(name, req.reply);
+  if (what == InHand::Said::forgo) req.sent = engine_.forgo(name, req.notice);
+}
+
+// A new link. What the engine may not have read is said again; but a run that must not be doubled, and may have
+// begun, is over: its caller hears that it may have run.
 void Server::caughtUp() {
   std::vector<ReqId> unsure;
   for (const auto& [id, req] : table_.all())
-    if (req.said != InHand::Said::nothing && !engine_.surelyRead(req.saidAt)) unsure.push_back(id);
-  for (const ReqId id : unsure) sayAgain(*table_.find(id));
-  log_.line(net::Matter::engine, "{} of {} reqs in hand were told again", unsure.size(), table_.size());
-}
-
-void Server::sayAgain(InHand& req) {
-  const auto effect = facts_.handlers[static_cast<std::size_t>(req.req.handler)].effect;
-  const std::string name = req.req.name;
-  if (req.said == InHand::Said::deliver) return engine_.deliver(name, req.reply);
-  if (req.said == InHand::Said::forgo) return engine_.forgo(name, req.notice);
-  if (effect == Effect::replayable)
-    engine_.launch(name, facts_.handlerNames[static_cast<std::size_t>(req.req.handler)], req.req.body);
-  else
-    runEnded(name, Outcome::errored, net::Reactor::Clock::now() - req.since, {});
+    if (req.said != InHand::Said::nothing && !(req.sent && engine_.surelyRead(req.saidAt))) unsure.push_back(id);
+  for (const ReqId id : unsure) {
+    InHand& req = *table_.find(id);
+    const bool replayable =
+        facts_.handlers[static_cast<std::size_t>(req.req.handler)].effect == Effect::replayable;
+    if (req.said != InHand::Said::launch || replayable || !req.sent)
+      say(req, req.said);
+    else
+      runEnded(std::string(req.req.name), Outcome::errored, net::Reactor::Clock::now() - req.since, {});
+  }
+  if (!unsure.empty()) log_.line(net::Matter::engine, "{} reqs were told to the engine again", unsure.size());
 }
 
 void Server::gauges(std::uint64_t question, const std::vector<double>& values) { ring(question, values); }
@@ -184,10 +189,8 @@
   InHand* req = table_.find(action.id);
   if (!req || req->course != Course::held) return;
   req->course = Course::running;
-  req->since = req->saidAt = net::Reactor::Clock::now();
-  req->said = InHand::Said::launch;
-  engine_.launch(req->req.name, facts_.handlerNames[static_cast<std::size_t>(req->req.handler)],
-                 req->req.body);
+  req->since = net::Reactor::Clock::now();
+  say(*req, InHand::Said::launch);
 }
 void Server::perform(const Shed& action) {
   InHand* req = table_.find(action.id);
@@ -216,9 +219,7 @@
   InHand* req = table_.find(action.id);
   if (!req || req->course != Course::wantsCall) return;
   req->course = Course::running;
-  req->said = InHand::Said::forgo;
-  req->saidAt = net::Reactor::Clock::now();
-  engine_.forgo(req->req.name, req->notice);
+  say(*req, InHand::Said::forgo);
 }
 void Server::perform(const Keep& action) {
   const InHand* req = table_.find(action.id);
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -61,7 +61,7 @@
   void settled(ReqId id, InHand& req);
   void firstEnded(ReqId first, Marks::End end, const std::string& result);
   void answerFrom(ReqId id, InHand& req, Marks::End end, const std::string& result);
-  void sayAgain(InHand& req);
+  void say(InHand& req, InHand::Said what);
   void ring(std::uint64_t question, const std::vector<double>& values);
   void tell(Event event);
   void report();
--- a/src/server/table.h
+++ b/src/server/table.h
@@ -21,9 +21,10 @@
   bool owed = true;
   Course course = Course::held;
   Moment since{};  // of the start, or of the wait for the first
-  // What the engine was told last and may not have read when its link broke.
+  // What the engine was told last, when, and whether there was a link to say it on.
   enum class Said { nothing, launch, deliver, forgo } said = Said::nothing;
   Moment saidAt{};
+  bool sent = false;
   std::string reply;  // delivered, or the call's body while it is wanted
   std::uint64_t notice = 0;
   std::optional<ReqId> first;
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -247,10 +247,16 @@
   auto client = w.balancer();
   client.health();
   EXPECT_EQ(client.answer().what, What::good);
+  client.ask(9, Balancer::fields(two, "pay"));  // none should come yet; one that does waits for its engine
+  client.health();
+  EXPECT_EQ(client.answer().what, What::good);
   EXPECT_EQ(w.link("cold"), 0u);
+  EXPECT_EQ(w.launched(), two);
+  w.ends(two);
+  EXPECT_EQ(client.answer().number, 9);
   w.engine.say("no json\n");
   EXPECT_TRUE(w.engine.endsNow());
-  EXPECT_EQ(w.link(), 0u);
+  EXPECT_EQ(w.link(), 1u);
   w.tell({{"msg", "refusal"}, {"how", "launch"}, {"call", "?"}});
   w.tell({{"msg", "aside"}, {"serial", ++w.notices}, {"how", "hello"}});
   w.ends("0000000000000000");  // of a req that is not in hand
