--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# build, test, lint and run; `make packages` installs what they need (Debian, as root).
+BUILD_PACKAGES := $(shell sed -n 's/^packages = \[\(.*\)\]$$/\1/p' deploy/balancer.toml | tr -d '",')
+TEST_PACKAGES := g++ cmake make libgtest-dev librapidcheck-dev
+LINT_PACKAGES := clang-format clang-tidy
+SOURCES := $(shell git ls-files 'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h')
+
+.PHONY: build test test-plain test-sanitized lint run packages clean
+
+build:
+	cmake -B build -DCMAKE_BUILD_TYPE=Release && cmake --build build -j4
+
+test: test-plain test-sanitized
+
+test-plain: OPTIONS :=
+test-sanitized: OPTIONS := -DRAINHOOK_SANITIZE=ON
+test-plain test-sanitized:
+	cmake -B build-$@ -DCMAKE_BUILD_TYPE=Release -DRAINHOOK_TESTS=ON $(OPTIONS) && cmake --build build-$@ -j4
+	ctest --test-dir build-$@ -j4 --output-on-failure --timeout 120
+
+lint:
+	clang-format --dry-run --Werror $(SOURCES)
+	cmake -B build -DCMAKE_BUILD_TYPE=Release -DCMAKE_EXPORT_COMPILE_COMMANDS=ON
+	printf '%s\n' $(filter src/%.cpp,$(SOURCES)) | xargs -P4 -n1 clang-tidy --quiet -p build
+
+run: build
+	python3 examples/toy.py build/rainhook
+
+packages:
+	apt-get update -q
+	DEBIAN_FRONTEND=noninteractive apt-get install -y -q $(BUILD_PACKAGES) $(TEST_PACKAGES) $(LINT_PACKAGES)
+
+clean:
+	rm -rf build build-*
--- a/src/net/reactor.cpp
+++ b/src/net/reactor.cpp
@@ -58,7 +58,8 @@
 }
 void Reactor::onTimeout() {
   endTurn();
-  const auto wait = timers_.empty() ? Wait(1s) : timers_.begin()->first.first - Clock::now();
+  Wait wait = timers_.empty() ? Wait(1s) : timers_.begin()->first.first - Clock::now();
+  if (!flushes_.empty()) wait = 0s;  // given to send while others sent
   const auto millis = std::chrono::ceil<std::chrono::milliseconds>(std::clamp<Wait>(wait, 0s, 1s));
   setTimeout(Poco::Timespan(static_cast<Poco::Timespan::TimeDiff>(millis.count()) * 1000));
 }
--- a/src/net/reactor.h
+++ b/src/net/reactor.h
@@ -49,6 +49,8 @@
   void flushLater(std::function<void()> flush) { flushes_.push_back(std::move(flush)); }
   // Keeps a handler alive until nothing of this turn can call it any more.
   void retire(std::shared_ptr<void> handler) { retired_.push_back(std::move(handler)); }
+  // Lets go of what was retired, once no turn is under way.
+  void letGo() { retired_.clear(); }
   // The file descriptor of the given signals, which are blocked from now on, becomes a socket of the reactor.
   void onSignals(std::initializer_list<int> signals, std::function<void(int)> hear);
 
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -28,6 +28,11 @@
     list_ = std::make_unique<net::List>(reactor, pool_, log, *address, place.name);
 }
 
+Server::~Server() {
+  reactor_.atTurnEnd({});
+  reactor_.letGo();  // its connections hold buffers of our pool
+}
+
 void Server::open() {
   clients_.listen(net::Connection::Address(place_.listen));
   reactor_.atTurnEnd([this] { endTurn(); });
@@ -51,7 +56,11 @@
 
 Span Server::sinceOpened() const { return net::Reactor::Clock::now() - origin_; }
 
-void Server::tell(Event event) { happened_.push_back(std::move(event)); }
+// What happens after this turn's question to the module is not to wait for the next socket or timer.
+void Server::tell(Event event) {
+  if (happened_.empty()) again_ = reactor_.after(0s, [] {});
+  happened_.push_back(std::move(event));
+}
 
 void Server::endTurn() {
   if (!module_ || (happened_.empty() && !std::exchange(fresh_, false))) return;
@@ -59,7 +68,6 @@
   const auto happened = std::exchange(happened_, {});
   for (const auto& action : module_->decide(sinceOpened(), happened))
     std::visit([this](const auto& a) { perform(a); }, action);
-  if (!happened_.empty()) again_ = reactor_.after(0s, [] {});  // what the actions brought about
 }
 
 // News of the peers.
@@ -239,9 +247,9 @@
   const auto* kept = first ? marks_.find(*first) : nullptr;
   req->course = Course::waitingForFirst;
   req->since = net::Reactor::Clock::now();
-  req->first = first;
   if (!kept) return answerFrom(action.id, *req, Marks::End::errored, {});
-  if (kept->end != Marks::End::none) answerFrom(action.id, *req, kept->end, kept->result);
+  if (kept->end != Marks::End::none) return answerFrom(action.id, *req, kept->end, kept->result);
+  table_.waitFor(*first, action.id);
 }
 void Server::perform(const SayHealth& action) {
   clients_.sayHealth(action.good);
@@ -271,10 +279,7 @@
 
 void Server::firstEnded(ReqId first, Marks::End end, const std::string& result) {
   marks_.ended(first, end, net::Reactor::Clock::now(), result);
-  std::vector<ReqId> waiting;
-  for (const auto& [id, req] : table_.all())
-    if (req.first == first) waiting.push_back(id);
-  for (const ReqId id : waiting) answerFrom(id, *table_.find(id), end, result);
+  for (const ReqId id : table_.waitingFor(first)) answerFrom(id, *table_.find(id), end, result);
 }
 
 void Server::answerFrom(ReqId id, InHand& req, Marks::End end, const std::string& result) {
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -24,6 +24,7 @@
 class Server final : net::Clients::Hearer, net::Engine::Hearer, net::Servers::Hearer {
  public:
   Server(net::Reactor& reactor, net::Log& log, const Place& place, const Facts& facts);
+  ~Server() override;
 
   // Binds its address; throws Poco::Exception where that can't be had.
   void open();
--- a/src/server/table.cpp
+++ b/src/server/table.cpp
@@ -23,9 +23,18 @@
   const auto it = inHand_.find(id);
   if (it == inHand_.end()) return;
   names_.erase(it->second.req.name);
+  if (it->second.course == Course::waitingForFirst)
+    std::erase_if(waiting_, [id](const auto& entry) { return entry.second == id; });
   inHand_.erase(it);
 }
 
+std::vector<ReqId> Table::waitingFor(ReqId first) const {
+  std::vector<ReqId> out;
+  const auto [begin, end] = waiting_.equal_range(first);
+  for (auto it = begin; it != end; ++it) out.push_back(it->second);
+  return out;
+}
+
 std::optional<Marks::Key> Marks::keyOf(const net::ArrivedReq& req,
                                        const std::vector<HandlerTerms>& handlers) {
   const auto effect = handlers[static_cast<std::size_t>(req.handler)].effect;
@@ -70,7 +79,10 @@
   kept.end = end, kept.endedAt = at, kept.result = result;
 }
 
+// Looks seldom: an entry whose time has passed is no holder in any case.
 void Marks::expire(Moment now) {
+  if (now < nextLook_) return;
+  nextLook_ = now + std::chrono::milliseconds(100);
   std::erase_if(kept_, [&](const auto& entry) {
     if (entry.second.until > now) return false;
     keys_.erase(entry.second.holder);
--- a/src/server/table.h
+++ b/src/server/table.h
@@ -27,7 +27,6 @@
   bool sent = false;
   std::string reply;  // delivered, or the call's body while it is wanted
   std::uint64_t notice = 0;
-  std::optional<ReqId> first;
 };
 
 class Table {
@@ -36,13 +35,15 @@
   InHand* find(ReqId id);
   std::optional<ReqId> named(const std::string& name) const;
   void drop(ReqId id);
-  bool empty() const { return inHand_.empty(); }
+  void waitFor(ReqId first, ReqId id) { waiting_.emplace(first, id); }
+  std::vector<ReqId> waitingFor(ReqId first) const;
   std::size_t size() const { return inHand_.size(); }
   const std::map<ReqId, InHand>& all() const { return inHand_; }
 
  private:
   std::map<ReqId, InHand> inHand_;  // a req leaves when its answer and its run have both ended
   std::map<std::string, ReqId> names_;
+  std::multimap<ReqId, ReqId> waiting_;  // by their first
 };
 
 // What is remembered of kept reqs; an entry leaves when its time has passed or it is forgotten.
@@ -77,6 +78,7 @@
  private:
   std::map<Key, Kept> kept_;
   std::map<ReqId, Key> keys_;
+  Moment nextLook_{};
 };
 
 }  // namespace rainhook::server
