--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -53,7 +53,6 @@
   std::size_t waiting() const { return out_.size(); }
   // Whether anything was sent since the callbacks were given.
   bool sentAny() const { return sentAny_; }
-  bool closed() const { return state_ == State::closed; }
   void listenWith(Callbacks callbacks);
   void pause();
   void resume();
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -69,7 +69,7 @@
   w.start();
   auto client = w.balancer();
   auto fields = Balancer::fields(one);
-  fields["budget"] = "1";
+  fields["t0"] = std::to_string(std::stoll(fields["t0"]) - 3000);  // it has waited unread for all its time
   client.ask(1, fields);
   EXPECT_EQ(client.answer().what, What::shed);
   // A run is no excuse: its answer comes by the due time.
@@ -322,6 +322,20 @@
   EXPECT_EQ(client.answer().what, What::good);
 }
 
+// An idle connection is asked to close; a req that crosses that is still answered, and then it ends.
+TEST(ServerClients, AnIdleConnectionIsAskedToCloseAndWhatCrossesIsAnswered) {
+  Peers w;
+  w.start();
+  std::thread questions([&] { EXPECT_EQ(w.launched(), one); });  // answers the questions for gauges meanwhile
+  auto client = w.balancer();
+  EXPECT_EQ(client.answer().what, What::closing);
+  client.ask(1, Balancer::fields(one));
+  questions.join();
+  w.ends(one);
+  EXPECT_EQ(client.answer().what, What::done);
+  EXPECT_TRUE(client.endsNow());
+}
+
 TEST(ServerClients, ACallerThatSendsNoMoreStillGetsItsAnswer) {
   Peers w;
   w.start();
