Repeats read in one turn or late know their first; descriptors split anew

Found when the code was read again: two tries of one uniqued req in one turn of the reactor did not know of each other, and one that came within the window but was read after it was taken for new. Both are tested. A result goes when its time has passed, its key 10 s later.

The parts are now what balancers may open and a few more, 14 of our own, the rest for calls.

Also: a launch given on a new link just before its catching up was said twice; only what went to an older link is doubtful.

--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -113,6 +113,7 @@
   } else if (kind == "greeting") {
     greeted_ = catchingUp_ = true;
     lostSaid_ = false;
+    linkedAt_ = Reactor::Clock::now();
     log_.line(Matter::engine, "the link to the engine is up; it was {} when it started", how);
     hearer_.engineUp(how == "cold", millis(line));
     say({{"msg", "sample"}, {"cookie", catchUp}});
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -35,8 +35,9 @@
   bool deliver(const std::string& name, std::string_view reply);
   bool forgo(const std::string& name, std::uint64_t notice);
   void ask(std::uint64_t question);
-  // Whether what was said then has surely been read: a question asked later has been answered.
-  bool surelyRead(Reactor::Clock::time_point said) const { return said < readUntil_; }
+  // Whether what was said then may never have been read: it went to a link that is gone, and no question that
+  // was asked later has been answered.
+  bool mayBeLost(Reactor::Clock::time_point said) const { return said < linkedAt_ && said >= readUntil_; }
 
  private:
   void came(const nlohmann::json& line);
@@ -55,7 +56,7 @@
   std::shared_ptr<Connection> connection_;
   bool greeted_ = false, catchingUp_ = false, lostSaid_ = false;
   std::uint64_t lastNotice_ = 0, asked_ = 0;
-  Reactor::Clock::time_point askedAt_{}, readUntil_{};
+  Reactor::Clock::time_point askedAt_{}, readUntil_{}, linkedAt_{};
   Reactor::Timer retry_;
 };
 
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -28,7 +28,10 @@
   giveUp(id);
   Call& call = calls_[id];
   call.made = Reactor::Clock::now();
-  if (!address_ || (idle_.empty() && open() > mostOpen_)) {
+  const bool full = idle_.empty() && open() > mostOpen_;
+  if (full)
+    log_.line(Matter::servers, "all {} connections for calls are in use: a call is not made", mostOpen_);
+  if (!address_ || full) {
     call.limit = reactor_.after(0s, [this, id] { end(id, Outcome::unreachable, {}); });
     return;
   }
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -1,5 +1,6 @@
 #include "server/server.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace rainhook::server {
@@ -12,17 +13,24 @@
   return net::Connection::Address(text);
 }
 
+// Descriptors: half of them are the balancers' to open, and a few more for what they have closed and we have
+// not yet; some are for the listener, the links, signals and the log; all others are for calls.
+constexpr std::size_t ownDescriptors = 14;
+std::size_t forBalancers(std::size_t all) { return all / 2 + all / 16; }
+std::size_t forCalls(std::size_t all) {
+  return std::max(all / 8, all - std::min(all, forBalancers(all) + ownDescriptors));
+}
+
 }  // namespace
 
-// Descriptors: half of them are the balancers' to open, an eighth is for calls, the rest stays free.
 Server::Server(net::Reactor& reactor, net::Log& log, const Place& place, const Facts& facts)
     : reactor_(reactor),
       log_(log),
       place_(place),
       facts_(facts),
       clients_(reactor, pool_, log, *this, {facts.handlerNames, facts.customerNames},
-               place.descriptors * 3 / 4),
-      servers_(reactor, pool_, log, *this, addressOf(place.next), place.descriptors / 8),
+               forBalancers(place.descriptors)),
+      servers_(reactor, pool_, log, *this, addressOf(place.next), forCalls(place.descriptors)),
       engine_(reactor, pool_, log, *this, net::Connection::Address(place.engine)) {
   if (const auto address = addressOf(place.list))
     list_ = std::make_unique<net::List>(reactor, pool_, log, *address, place.name);
@@ -64,6 +72,7 @@
 
 void Server::endTurn() {
   if (!module_ || (happened_.empty() && !std::exchange(fresh_, false))) return;
+  marks_.turnEnds();
   marks_.expire(net::Reactor::Clock::now());
   const auto happened = std::exchange(happened_, {});
   for (const auto& action : module_->decide(sinceOpened(), happened))
@@ -85,15 +94,16 @@
   read.customer = req.customer;
   read.caller = req.caller;
   read.subject = req.subject;
+  const auto now = net::Reactor::Clock::now();
   if (const auto key = Marks::keyOf(req, facts_.handlers))
-    read.repeats = marks_.holder(*key, net::Reactor::Clock::now(), facts_.trade.shareFor);
+    read.repeats = marks_.firstOf(*key, id, now - req.unread, now, facts_.trade.shareFor);
   read.rank = req.rank;
   read.heldKb = req.heldKb;
   read.workHint = req.workHint;
   if (facts_.tellsPatience) read.patience = req.patience;
   read.unread = req.unread;
   read.write = req.subject == SubjectId{};
-  table_.add(id, std::move(req));
+  table_.add(id, std::move(req)).repeats = read.repeats;
   tell(read);
   return id;
 }
@@ -115,9 +125,10 @@
   if (req.course < Course::running) return;
   servers_.giveUp(*id);
   const bool wasOwed = req.owed;
-  if (outcome == Outcome::done || outcome == Outcome::errored) {
+  if (outcome != Outcome::stopped) {
+    // A run that never was ends a req that the engine takes for over; one answer more does no harm.
     if (wasOwed && outcome == Outcome::done) ++counts_.done, clients_.done(req.req.ticket, result);
-    if (wasOwed && outcome == Outcome::errored) ++counts_.errored, clients_.errored(req.req.ticket, "failed");
+    if (wasOwed && outcome != Outcome::done) ++counts_.errored, clients_.errored(req.req.ticket, "failed");
     req.owed = false;
   }
   tell(RunEnded{*id, outcome, took});
@@ -125,6 +136,7 @@
     firstEnded(*id, outcome == Outcome::done ? Marks::End::done : Marks::End::errored, result);
   if (req.owed && outcome == Outcome::stopped) {  // back in the hold
     req.course = Course::held;
+    req.said = InHand::Said::nothing;
     return;
   }
   table_.drop(*id);
@@ -171,7 +183,7 @@
 void Server::caughtUp() {
   std::vector<ReqId> unsure;
   for (const auto& [id, req] : table_.all())
-    if (req.said != InHand::Said::nothing && !(req.sent && engine_.surelyRead(req.saidAt)))
+    if (req.said != InHand::Said::nothing && (!req.sent || engine_.mayBeLost(req.saidAt)))
       unsure.push_back(id);
   for (const ReqId id : unsure) {
     InHand& req = *table_.find(id);
@@ -244,15 +256,12 @@
 void Server::perform(const AnswerFromFirst& action) {
   InHand* req = table_.find(action.id);
   if (!req) return;
-  const auto key = Marks::keyOf(req->req, facts_.handlers);
-  const auto first =
-      key ? marks_.holder(*key, net::Reactor::Clock::now(), facts_.trade.shareFor) : std::nullopt;
-  const auto* kept = first ? marks_.find(*first) : nullptr;
+  const auto* kept = req->repeats ? marks_.find(*req->repeats) : nullptr;
   req->course = Course::waitingForFirst;
   req->since = net::Reactor::Clock::now();
   if (!kept) return answerFrom(action.id, *req, Marks::End::errored, {});
   if (kept->end != Marks::End::none) return answerFrom(action.id, *req, kept->end, kept->result);
-  table_.waitFor(*first, action.id);
+  table_.waitFor(*req->repeats, action.id);
 }
 void Server::perform(const SayHealth& action) {
   clients_.sayHealth(action.good);
--- a/src/server/table.cpp
+++ b/src/server/table.cpp
@@ -43,14 +43,15 @@
   return std::nullopt;
 }
 
-std::optional<ReqId> Marks::holder(const Key& key, Moment now, Span shareFor) const {
-  const auto it = kept_.find(key);
-  if (it == kept_.end() || it->second.until <= now) return std::nullopt;
-  const Kept& kept = it->second;
-  const bool isRead = key.mark.empty();
-  if (isRead && kept.end != End::none && (kept.end != End::done || now - kept.endedAt > shareFor))
-    return std::nullopt;
-  return kept.holder;
+std::optional<ReqId> Marks::firstOf(const Key& key, ReqId id, Moment arrived, Moment now, Span shareFor) {
+  const auto inTurn = turn_.try_emplace(key, id);
+  if (const auto it = kept_.find(key); it != kept_.end() && arrived < it->second.until) {
+    const Kept& kept = it->second;
+    const bool isRead = key.mark.empty();
+    const bool over = kept.end != End::none && (kept.end != End::done || now - kept.endedAt > shareFor);
+    if (!isRead || !over) return kept.holder;
+  }
+  return inTurn.second ? std::nullopt : std::optional(inTurn.first->second);
 }
 
 void Marks::keep(const Key& key, ReqId id, Moment until) {
@@ -79,15 +80,19 @@
   kept.end = end, kept.endedAt = at, kept.result = result;
 }
 
-// Looks seldom: an entry whose time has passed is no holder in any case.
 void Marks::expire(Moment now) {
   if (now < nextLook_) return;
-  nextLook_ = now + std::chrono::milliseconds(100);
-  std::erase_if(kept_, [&](const auto& entry) {
-    if (entry.second.until > now) return false;
-    keys_.erase(entry.second.holder);
-    return true;
-  });
+  nextLook_ = now + lookEvery;
+  for (auto it = kept_.begin(); it != kept_.end();) {
+    Kept& kept = it->second;
+    if (kept.until <= now && kept.end == End::done) kept.end = End::errored, kept.result.clear();
+    if (kept.until + readLate <= now) {
+      keys_.erase(kept.holder);
+      it = kept_.erase(it);
+    } else {
+      ++it;
+    }
+  }
 }
 
 const Marks::Kept* Marks::find(ReqId id) const {
--- a/src/server/table.h
+++ b/src/server/table.h
@@ -25,6 +25,7 @@
   enum class Said { nothing, launch, deliver, forgo } said = Said::nothing;
   Moment saidAt{};
   bool sent = false;
+  std::optional<ReqId> repeats;
   std::string reply;  // delivered, or the call's body while it is wanted
   std::uint64_t notice = 0;
 };
@@ -46,7 +47,8 @@
   std::multimap<ReqId, ReqId> waiting_;  // by their first
 };
 
-// What is remembered of kept reqs; an entry leaves when its time has passed or it is forgotten.
+// What is remembered of kept reqs. An entry is forgotten, or goes by time: its result when its time has
+// passed, its key somewhat later, since a repeat that came in time may be read late.
 class Marks {
  public:
   // Uniqued reqs are known by their mark, reads by their subject.
@@ -60,9 +62,10 @@
 
   static std::optional<Key> keyOf(const net::ArrivedReq& req, const std::vector<HandlerTerms>& handlers);
 
-  // The kept req that one with this key repeats. A read repeats only what is under way, or ended well no
-  // longer ago than its answer may be shared.
-  std::optional<ReqId> holder(const Key& key, Moment now, Span shareFor) const;
+  // The req that one with this key repeats, kept or read earlier in the same turn. A read repeats only what
+  // is under way, or ended well no longer ago than its answer may be shared.
+  std::optional<ReqId> firstOf(const Key& key, ReqId id, Moment arrived, Moment now, Span shareFor);
+  void turnEnds() { turn_.clear(); }
   void keep(const Key& key, ReqId id, Moment until);
   void forget(ReqId id);
   void ended(ReqId id, End end, Moment at, const std::string& result);
@@ -78,7 +81,9 @@
  private:
   std::map<Key, Kept> kept_;
   std::map<ReqId, Key> keys_;
+  std::map<Key, ReqId> turn_;  // what was read in this turn
   Moment nextLook_{};
+  static constexpr Span readLate = std::chrono::seconds(10), lookEvery = std::chrono::milliseconds(100);
 };
 
 }  // namespace rainhook::server
