--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -162,17 +162,7 @@
     // `full` asks for real work in the check, for which the engine's protocol has no word: the word said last
     // answers both kinds.
     thrift::Reader(message.body).structure([](auto, auto, auto&) { return false; });
-    return client.connection->write(Writer(Kind::reply, message.name, message.sequence)
-                                        .field(success, Type::structure)
-                                        .field(1, Type::text)
-                                        .text("")
-                                        .field(2, Type::map)
-                                        .fields(spoken())
-                                        .field(3, Type::boolean)
-                                        .boolean(good_)
-                                        .stop()
-                                        .stop()
-                                        .whole());
+    return client.connection->write(good(message.name, message.sequence, {}));
   }
   if (message.kind == Kind::oneway && message.name == "cancel") {
     std::int32_t number = 0;
@@ -271,18 +261,22 @@
   it->second.connection->write(message);
 }
 
+std::string Clients::good(std::string_view method, std::int32_t number, std::string_view result) const {
+  return Writer(Kind::reply, method, number)
+      .field(success, Type::structure)
+      .field(1, Type::text)
+      .text(result)
+      .field(2, Type::map)
+      .fields(spoken())
+      .field(3, Type::boolean)
+      .boolean(good_)
+      .stop()
+      .stop()
+      .whole();
+}
+
 void Clients::done(Ticket ticket, std::string_view result) {
-  answer(ticket, Writer(Kind::reply, "call", ticket.number)
-                     .field(success, Type::structure)
-                     .field(1, Type::text)
-                     .text(result)
-                     .field(2, Type::map)
-                     .fields(spoken())
-                     .field(3, Type::boolean)
-                     .boolean(good_)
-                     .stop()
-                     .stop()
-                     .whole());
+  answer(ticket, good("call", ticket.number, result));
 }
 
 void Clients::shed(Ticket ticket, Span stayAway, bool lastTry) {
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -84,6 +84,7 @@
   bool readReq(const thrift::Message& message, ArrivedReq& req, std::string& fault) const;
   void left(ClientId id, Ending how, const std::string& why);
   void answer(Ticket ticket, std::string_view message);
+  std::string good(std::string_view method, std::int32_t number, std::string_view result) const;
   void wave(Client& client);
   void sweep();
   void readOn(ClientId id);
