--- a/src/main.cpp
+++ b/src/main.cpp
@@ -64,18 +64,18 @@
 
 int check(const Configured& configured) {
   const auto& [place, facts] = configured;
+  const auto millis = [](Span span) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+  };
   const auto or_ = [](const std::string& address) { return address.empty() ? "none" : address; };
   fmt::print("{} listens at {}; engine {}, list {}, next tier {}\n", place.name, place.listen, place.engine,
              or_(place.list), or_(place.next));
   fmt::print("limits: {} descriptors, {} MB; {} ms from the notice to leave to the stop\n", place.descriptors,
-             place.memoryMb, std::chrono::duration_cast<std::chrono::milliseconds>(place.stopAfter).count());
+             place.memoryMb, millis(place.stopAfter));
   fmt::print("{} cores, {:.0f} kB for reqs, {} customers\n", facts.machine.cores, facts.machine.memoryKb,
              facts.customerNames.size());
   constexpr const char* effects[] = {"replayable", "uniqued", "non-replayable"};
   for (std::size_t i = 0; i < facts.handlers.size(); ++i) {
-    const auto millis = [](Span span) {
-      return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
-    };
     const HandlerTerms& terms = facts.handlers[i];
     fmt::print("handler {}: {}, response target {} ms, client timeout {} ms, value {}\n",
                facts.handlerNames[i], effects[static_cast<std::size_t>(terms.effect)],
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -279,13 +279,9 @@
   answer(ticket, good("call", ticket.number, result));
 }
 
-void Clients::shed(Ticket ticket, Span stayAway, bool lastTry) {
-  auto fields = spoken();
-  if (const auto millis = std::chrono::round<std::chrono::milliseconds>(stayAway); millis > 0ms)
-    fields.emplace("backoff", std::to_string(millis.count()));
-  if (lastTry) fields.emplace("final", "1");
+void Clients::declared(Ticket ticket, std::int16_t exception, const thrift::Fields& fields) {
   answer(ticket, Writer(Kind::reply, "call", ticket.number)
-                     .field(overloaded, Type::structure)
+                     .field(exception, Type::structure)
                      .field(1, Type::map)
                      .fields(fields)
                      .stop()
@@ -293,16 +289,18 @@
                      .whole());
 }
 
+void Clients::shed(Ticket ticket, Span stayAway, bool lastTry) {
+  auto fields = spoken();
+  if (const auto millis = std::chrono::round<std::chrono::milliseconds>(stayAway); millis > 0ms)
+    fields.emplace("backoff", std::to_string(millis.count()));
+  if (lastTry) fields.emplace("final", "1");
+  declared(ticket, overloaded, fields);
+}
+
 void Clients::errored(Ticket ticket, std::string_view why) {
   auto fields = spoken();
   fields.emplace("why", why);
-  answer(ticket, Writer(Kind::reply, "call", ticket.number)
-                     .field(internal, Type::structure)
-                     .field(1, Type::map)
-                     .fields(fields)
-                     .stop()
-                     .stop()
-                     .whole());
+  declared(ticket, internal, fields);
 }
 
 void Clients::wave(Client& client) {
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -85,6 +85,8 @@
   void left(ClientId id, Ending how, const std::string& why);
   void answer(Ticket ticket, std::string_view message);
   std::string good(std::string_view method, std::int32_t number, std::string_view result) const;
+  // One of the exceptions that the service declares.
+  void declared(Ticket ticket, std::int16_t exception, const thrift::Fields& fields);
   void wave(Client& client);
   void sweep();
   void readOn(ClientId id);
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -173,7 +173,6 @@
       return end(Ending::unreachable, std::strerror(error));
     state_ = State::open;
     wantReading(!paused_);
-    if (const auto callbacks = callbacks_; callbacks->opened) callbacks->opened();
   }
   if (state_ == State::open) send();
   if (state_ == State::open && out_.empty())
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -29,7 +29,6 @@
   std::function<std::size_t(std::string_view)> came;
   // Once, and never after close(): the connection is closed already.
   std::function<void(Ending, const std::string&)> ended;
-  std::function<void()> opened;
   // All that had to wait has been sent.
   std::function<void()> sent;
   // The peer sends no more; where absent the connection ends as closed by the peer.
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -6,6 +6,7 @@
 #include "net/http.h"
 #include "net/jsonl.h"
 #include "net/thrift.h"
+#include "world.h"
 
 namespace rainhook::net {
 namespace {
@@ -24,15 +25,6 @@
   }
 }
 
-std::string callMessage(const thrift::Fields& fields, const std::string& body) {
-  return thrift::Writer(Kind::call, "call", 7)
-      .field(1, Type::map)
-      .fields(fields)
-      .field(2, Type::text)
-      .text(body)
-      .stop()
-      .whole();
-}
 std::pair<thrift::Fields, std::string> readCall(std::string_view bytes) {
   std::pair<thrift::Fields, std::string> out;
   const auto frame = thrift::readFrame(bytes, 1 << 20);
@@ -48,7 +40,7 @@
 
 RC_GTEST_PROP(Thrift, ReadsWhatItWroteAndWaitsForTheRestOfACutFrame,
               (const thrift::Fields& fields, const std::string& body)) {
-  const auto bytes = callMessage(fields, body);
+  const auto bytes = Balancer::message(7, fields, body);
   const auto read = readCall(bytes + "more");
   RC_ASSERT(read.first == fields);
   RC_ASSERT(read.second == body);
@@ -57,11 +49,11 @@
 }
 
 RC_GTEST_PROP(Thrift, TakesSpoiledBytes, (const thrift::Fields& fields, const std::string& body)) {
-  takesSpoiled(callMessage(fields, body), [](std::string_view bytes) { readCall(bytes); });
+  takesSpoiled(Balancer::message(7, fields, body), [](std::string_view bytes) { readCall(bytes); });
 }
 
 TEST(Thrift, RefusesFramesAndVersionsThatCannotBe) {
-  const auto good = callMessage({{"rid", "x"}}, "b");
+  const auto good = Balancer::message(7, {{"rid", "x"}}, "b");
   EXPECT_THROW(thrift::readFrame(good, 10), Nonsense);
   EXPECT_THROW(thrift::readFrame("\xff\xff\xff\xff", 100), Nonsense);
   EXPECT_THROW(thrift::readMessage(std::string_view("\0\0\0\4call\1\0\0\0\7\0", 14)), Nonsense);
