SIGHUP moves the peers under load; what the engine refuses ends at once

Now: a refusal ends its run as errored; SIGHUP reads the configuration again and engine, next tier and list are reached where they are now, other differences are said and left; a broken file changes nothing. Each call has a connection of its own, so no late byte of one reply is taken for the next one's and a connection forgotten while idle can't fail a call; its cost is a connect on loopback per call. News for the list no longer waits for a report that is never answered.

--- a/src/facts/place.cpp
+++ b/src/facts/place.cpp
@@ -59,6 +59,8 @@
   if (settings == json.end() || !settings->is_object())
     throw FactsError("configuration: settings is missing");
   out.facts = readFacts(pairsOfJson(*settings));
+  for (const char* name : {"name", "listen", "limits", "settings"})
+    if (const auto it = json.find(name); it != json.end()) out.fixed[name] = it->dump();
   const auto& names = out.facts.handlerNames;
   if (names.empty()) throw FactsError("settings: classes is missing or holds none");
   if (names.size() > 256) throw FactsError("settings: classes holds more than 256");
@@ -69,6 +71,16 @@
   return out;
 }
 
+std::vector<std::string> leftByReload(const Configured& running, const Configured& offered) {
+  std::vector<std::string> out;
+  for (const char* name : {"name", "listen", "limits", "settings"}) {
+    const auto now = running.fixed.find(name), then = offered.fixed.find(name);
+    const bool has = now != running.fixed.end(), had = then != offered.fixed.end();
+    if (has != had || (has && now->second != then->second)) out.emplace_back(name);
+  }
+  return out;
+}
+
 Configured readConfigurationFile(const std::string& file) {
   std::ifstream in(file);
   if (!in) throw FactsError("configuration: can't be read from '" + file + "'");
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,12 +1,14 @@
 // The command line: serve, check, version, help.
 #include <Poco/Exception.h>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <signal.h>
 
 #include <boost/program_options.hpp>
 #include <cstdio>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,18 +44,33 @@
     options.add_options()("config", po::value<std::string>()->default_value(file ? file : ""),
                           "the configuration, a JSON file; where absent the one that GW_CONFIG names");
   }
+  if (command == "check")
+    options.add_options()("running", po::value<std::string>(),
+                          "the configuration of a running server: says what a reload of it would not take");
   options.add_options()("help", "this page");
   return options;
 }
 
-int serve(const Configured& configured) {
+// A configuration that can't be taken changes nothing.
+void reload(server::Server& server, net::Log& log, const std::string& file) {
+  try {
+    server.reload(readConfigurationFile(file));
+  } catch (const std::exception& fault) {
+    log.line(net::Matter::start, "the new configuration is not taken: {}", fault.what());
+  }
+}
+
+int serve(const std::string& file) {
   net::Log log;
   signal(SIGPIPE, SIG_IGN);
   net::Reactor reactor;
-  server::Server server(reactor, log, configured.place, configured.facts);
-  reactor.onSignals({SIGTERM, SIGINT}, [&](int) { server.leave(); });
+  std::optional<server::Server> server;  // a signal that comes before it is there waits in the reactor
+  reactor.onSignals({SIGTERM, SIGINT, SIGHUP},
+                    [&](int signal) { signal == SIGHUP ? reload(*server, log, file) : server->leave(); });
+  const auto configured = readConfigurationFile(file);
+  server.emplace(reactor, log, configured);
   try {
-    server.open();
+    server->open();
   } catch (const Poco::Exception& error) {
     fmt::print(stderr, "rainhook: can't listen at {}: {}\n", configured.place.listen, error.displayText());
     return cannotServe;
@@ -62,8 +79,9 @@
   return fine;
 }
 
-int check(const Configured& configured) {
-  const auto& [place, facts] = configured;
+int check(const po::variables_map& given) {
+  const auto configured = readConfigurationFile(given["config"].as<std::string>());
+  const auto& [place, facts, fixed] = configured;
   const auto millis = [](Span span) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
   };
@@ -81,6 +99,11 @@
                facts.handlerNames[i], effects[static_cast<std::size_t>(terms.effect)],
                millis(terms.responseTarget), millis(terms.clientTimeout), terms.value);
   }
+  if (given.count("running")) {
+    const auto left = leftByReload(readConfigurationFile(given["running"].as<std::string>()), configured);
+    fmt::print("a reload (SIGHUP) of a server with {} would take {}\n", given["running"].as<std::string>(),
+               left.empty() ? "all of it" : fmt::format("all but {}", fmt::join(left, ", ")));
+  }
   return fine;
 }
 
@@ -111,8 +134,8 @@
     return fine;
   }
   try {
-    const auto configured = readConfigurationFile(given["config"].as<std::string>());
-    return command == "check" ? check(configured) : serve(configured);
+    const auto file = given["config"].as<std::string>();
+    return command == "check" ? check(given) : serve(file);
   } catch (const FactsError& error) {
     fmt::print(stderr, "rainhook: {}\n", error.what());
     return misused;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -12,7 +12,7 @@
     : reactor_(reactor),
       pool_(pool),
       socket_(socket),
-      callbacks_(std::make_shared<const Callbacks>(std::move(callbacks))),
+      callbacks_(std::move(callbacks)),
       in_(nullptr, BufferPool::GiveBack{&pool}),
       out_(pool) {}
 
@@ -67,11 +67,6 @@
   reactor_.addEventHandler(socket_, onError_);
 }
 
-void Connection::listenWith(Callbacks callbacks) {
-  callbacks_ = std::make_shared<const Callbacks>(std::move(callbacks));
-  sentAny_ = false;
-}
-
 void Connection::pause() {
   paused_ = true;
   if (state_ == State::open) wantReading(false);
@@ -114,7 +109,7 @@
     if (got == 0) {
       ended_ = true;
       wantReading(false);
-      if (const auto callbacks = callbacks_; callbacks->halfClosed) return callbacks->halfClosed();
+      if (callbacks_.halfClosed) return callbacks_.halfClosed();
       return end(Ending::closedByPeer, "closed by the peer");
     }
     to_ += static_cast<std::size_t>(got);
@@ -125,8 +120,7 @@
 
 void Connection::feed() {
   while (state_ == State::open && !paused_ && from_ < to_) {
-    const auto callbacks = callbacks_;
-    const std::size_t used = callbacks->came({in_->data() + from_, to_ - from_});
+    const std::size_t used = callbacks_.came({in_->data() + from_, to_ - from_});
     if (used == 0) return;
     from_ += used;
   }
@@ -175,8 +169,7 @@
     wantReading(!paused_);
   }
   if (state_ == State::open) send();
-  if (state_ == State::open && out_.empty())
-    if (const auto callbacks = callbacks_; callbacks->sent) callbacks->sent();
+  if (state_ == State::open && out_.empty() && callbacks_.sent) callbacks_.sent();
 }
 
 void Connection::failed(const Poco::AutoPtr<Poco::Net::ErrorNotification>&) {
@@ -192,7 +185,7 @@
   if (state_ == State::closed) return;
   const auto self = weak_from_this().lock();
   close();
-  if (const auto callbacks = callbacks_; callbacks->ended) callbacks->ended(how, why);
+  if (callbacks_.ended) callbacks_.ended(how, why);
 }
 
 void Connection::close() {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -50,9 +50,8 @@
 
   void write(std::string_view bytes);
   std::size_t waiting() const { return out_.size(); }
-  // Whether anything was sent since the callbacks were given.
+  // Whether anything was sent.
   bool sentAny() const { return sentAny_; }
-  void listenWith(Callbacks callbacks);
   void pause();
   void resume();
   void close();
@@ -79,7 +78,7 @@
   Reactor& reactor_;
   BufferPool& pool_;
   Poco::Net::StreamSocket socket_;
-  std::shared_ptr<const Callbacks> callbacks_;  // shared with the callback that runs and may replace it
+  const Callbacks callbacks_;
   State state_ = State::connecting;
   BufferPool::Lease in_;  // held only while a message is not whole
   std::size_t from_ = 0, to_ = 0;
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -40,6 +40,13 @@
   connection_->write(jsonl::writeLine({{"msg", "subscribe"}, {"serial", lastNotice_}}));
 }
 
+void Engine::moveTo(const Connection::Address& address) {
+  if (address == std::exchange(address_, address)) return;
+  retry_.cancel();
+  if (connection_) connection_->close();
+  connect();
+}
+
 void Engine::lost(const std::string& why) {
   if (!std::exchange(lostSaid_, true)) log_.line(Matter::engine, "the link to the engine is lost: {}", why);
   greeted_ = false;
@@ -119,6 +126,7 @@
     say({{"msg", "sample"}, {"cookie", catchUp}});
   } else if (kind == "refusal") {
     log_.line(Matter::engine, "the engine refused {} for {}", how, name);
+    hearer_.commandRefused(name, how);
   } else {
     throw Nonsense("an unknown notice: " + kind.substr(0, 40));
   }
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -25,11 +25,15 @@
     virtual void runEnded(const std::string& name, Outcome outcome, Span took, std::string&& result) = 0;
     virtual void callWanted(const std::string& name, std::uint64_t notice, std::string&& body) = 0;
     virtual void gauges(std::uint64_t question, const std::vector<double>& values) = 0;
+    // A command for this req was not carried out: the engine knows no such req, or does not allow it.
+    virtual void commandRefused(const std::string& name, const std::string& command) = 0;
   };
 
   Engine(Reactor& reactor, BufferPool& pool, Log& log, Hearer& hearer, const Connection::Address& address);
 
   void connect();
+  // The engine is reached elsewhere from now on; its runs and notices go on.
+  void moveTo(const Connection::Address& address);
   // False where there is no link to say it on.
   bool launch(const std::string& name, const std::string& handler, std::string_view body);
   bool deliver(const std::string& name, std::string_view reply);
@@ -52,7 +56,7 @@
   BufferPool& pool_;
   Log& log_;
   Hearer& hearer_;
-  const Connection::Address address_;
+  Connection::Address address_;
   std::shared_ptr<Connection> connection_;
   bool greeted_ = false, catchingUp_ = false, lostSaid_ = false;
   std::uint64_t lastNotice_ = 0, asked_ = 0;
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -8,15 +8,23 @@
     : reactor_(reactor), pool_(pool), log_(log), address_(address), name_(std::move(name)) {}
 
 void List::takesWork(bool does) {
-  does_ = does;
-  if (asked_)
-    changed_ = true;  // told as soon as the report under way has ended
-  else
-    report();
+  if (std::exchange(does_, does) != does || !connection_) startOver();
+}
+
+void List::moveTo(const Connection::Address& address) {
+  if (address == std::exchange(address_, address)) return;
+  if (connection_) connection_->close(), connection_.reset();
+  report();
+}
+
+// News does not wait for a report under way, whose answer may never come.
+void List::startOver() {
+  if (asked_ && connection_) connection_->close(), connection_.reset();
+  report();
 }
 
 void List::report() {
-  asked_ = true, changed_ = false;
+  asked_ = true;
   if (!connection_) {
     Callbacks callbacks;
     callbacks.came = [this](std::string_view bytes) -> std::size_t {
@@ -46,8 +54,7 @@
   if (counted && !reached_) log_.line(Matter::list, "the list is reached again");
   reached_ = counted;
   asked_ = false;
-  const auto wait = !counted ? again : changed_ ? Reactor::Wait::zero() : every;
-  next_ = reactor_.after(wait, [this] { report(); });
+  next_ = reactor_.after(counted ? every : again, [this] { report(); });
 }
 
 }  // namespace rainhook::net
--- a/src/net/list.h
+++ b/src/net/list.h
@@ -16,9 +16,11 @@
   List(Reactor& reactor, BufferPool& pool, Log& log, const Connection::Address& address, std::string name);
 
   void takesWork(bool does);  // reported at once, and from then on
+  void moveTo(const Connection::Address& address);
 
  private:
   void report();
+  void startOver();
   void settle(bool counted, const std::string& why);
 
   static constexpr Reactor::Wait every = std::chrono::milliseconds(800), patience = std::chrono::seconds(1),
@@ -26,9 +28,9 @@
   Reactor& reactor_;
   BufferPool& pool_;
   Log& log_;
-  const Connection::Address address_;
+  Connection::Address address_;
   const std::string name_;
-  bool does_ = true, asked_ = false, changed_ = false, reached_ = true;
+  bool does_ = true, asked_ = false, reached_ = true;
   std::shared_ptr<Connection> connection_;
   Reactor::Timer next_;  // the next report, or the end of the patience with this one
 };
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -17,31 +17,21 @@
       address_(std::move(address)),
       mostOpen_(mostOpen) {}
 
-Callbacks Servers::callbacks(ReqId id) {
-  Callbacks callbacks;
-  callbacks.came = [this, id](std::string_view bytes) { return came(id, bytes); };
-  callbacks.ended = [this, id](Ending how, const std::string& why) { broke(id, how, why); };
-  return callbacks;
-}
-
 void Servers::call(ReqId id, const std::string& name, Span limit, std::string_view body) {
   giveUp(id);
   Call& call = calls_[id];
   call.made = Reactor::Clock::now();
-  const bool full = idle_.empty() && open() > mostOpen_;
+  const bool full = open() > mostOpen_;
   if (full)
     log_.line(Matter::servers, "all {} connections for calls are in use: a call is not made", mostOpen_);
   if (!address_ || full) {
     call.limit = reactor_.after(0s, [this, id] { end(id, Outcome::unreachable, {}); });
     return;
   }
-  if (idle_.empty()) {
-    call.connection = Connection::to(*address_, reactor_, pool_, callbacks(id));
-  } else {
-    call.connection = std::move(idle_.back().connection);
-    idle_.pop_back();
-    call.connection->listenWith(callbacks(id));
-  }
+  Callbacks callbacks;
+  callbacks.came = [this, id](std::string_view bytes) { return came(id, bytes); };
+  callbacks.ended = [this, id](Ending how, const std::string& why) { broke(id, how, why); };
+  call.connection = Connection::to(*address_, reactor_, pool_, std::move(callbacks));
   call.limit = reactor_.after(limit, [this, id] { end(id, Outcome::timedOut, {}); });
   const auto millis = std::max<std::int64_t>(1, std::chrono::floor<std::chrono::milliseconds>(limit).count());
   call.connection->write(http::request("POST", "/rpc/call", address_->toString(),
@@ -65,8 +55,6 @@
   if (response->status == 503 && turnedAway) outcome = Outcome::refused;
   if (response->status == 409 && turnedAway) outcome = Outcome::moot;
   if (response->status == 504) outcome = Outcome::timedOut;
-  Call& call = calls_.at(id);
-  if (response->keeps && response->size == bytes.size()) keep(std::exchange(call.connection, nullptr));
   end(id, outcome, std::move(response->body));
   return bytes.size();
 }
@@ -88,31 +76,4 @@
   hearer_.callEnded(id, outcome, took, std::move(reply));
 }
 
-void Servers::keep(std::shared_ptr<Connection> connection) {
-  Callbacks callbacks;
-  const Connection* const self = connection.get();
-  const auto drop = [this, self] {
-    std::erase_if(idle_, [self](const Idle& idle) {
-      if (idle.connection.get() != self) return false;
-      idle.connection->close();
-      return true;
-    });
-  };
-  callbacks.came = [](std::string_view) -> std::size_t { throw Nonsense("an answer to no call"); };
-  callbacks.ended = [drop](Ending, const std::string&) { drop(); };
-  connection->listenWith(std::move(callbacks));
-  idle_.push_back({std::move(connection), Reactor::Clock::now()});
-  sweep();
-}
-
-void Servers::sweep() {
-  const auto now = Reactor::Clock::now();
-  std::erase_if(idle_, [now](const Idle& idle) {
-    if (now - idle.since < idleFor) return false;
-    idle.connection->close();
-    return true;
-  });
-  if (!idle_.empty()) sweeping_ = reactor_.after(sweepEvery, [this] { sweep(); });
-}
-
 }  // namespace rainhook::net
--- a/src/net/servers.h
+++ b/src/net/servers.h
@@ -1,5 +1,6 @@
-// The next tier: calls over kept HTTP connections, one at a time on each. A call is given up by closing its
-// connection. The protocol's names end in servers.cpp.
+// The next tier: calls over HTTP, each on a connection of its own that is closed with it. A kept connection
+// may bring late bytes of the reply before, or have been forgotten by the peer while idle, which can't be
+// told from a call that ran; a new one can't. The protocol's names end in servers.cpp.
 #pragma once
 
 #include <cstdint>
@@ -7,7 +8,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include "decision/decision.h"
 #include "net/connection.h"
@@ -30,7 +30,9 @@
   // How it ends comes to the hearer, not from within this call; a call for a req gives up the one before it.
   void call(ReqId id, const std::string& name, Span limit, std::string_view body);
   void giveUp(ReqId id);
-  std::size_t open() const { return calls_.size() + idle_.size(); }
+  // Calls from now on go there; those under way end where they are.
+  void moveTo(std::optional<Connection::Address> address) { address_ = std::move(address); }
+  std::size_t open() const { return calls_.size(); }
 
  private:
   struct Call {
@@ -38,29 +40,18 @@
     Reactor::Clock::time_point made;
     Reactor::Timer limit;
   };
-  struct Idle {
-    std::shared_ptr<Connection> connection;
-    Reactor::Clock::time_point since;
-  };
 
-  Callbacks callbacks(ReqId id);
   std::size_t came(ReqId id, std::string_view bytes);
   void broke(ReqId id, Ending how, const std::string& why);
   void end(ReqId id, Outcome outcome, std::string&& reply);
-  void keep(std::shared_ptr<Connection> connection);
-  void sweep();
-
-  static constexpr Span idleFor = std::chrono::seconds(5), sweepEvery = std::chrono::seconds(1);
 
   Reactor& reactor_;
   BufferPool& pool_;
   Log& log_;
   Hearer& hearer_;
-  const std::optional<Connection::Address> address_;
+  std::optional<Connection::Address> address_;
   const std::size_t mostOpen_;
   std::map<ReqId, Call> calls_;  // a call leaves when it ends or is given up
-  std::vector<Idle> idle_;       // swept by time, used newest first
-  Reactor::Timer sweeping_;
 };
 
 }  // namespace rainhook::net
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -1,5 +1,7 @@
 #include "server/server.h"
 
+#include <fmt/ranges.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -23,17 +25,16 @@
 
 }  // namespace
 
-Server::Server(net::Reactor& reactor, net::Log& log, const Place& place, const Facts& facts)
+Server::Server(net::Reactor& reactor, net::Log& log, Configured configured)
     : reactor_(reactor),
       log_(log),
-      place_(place),
-      facts_(facts),
-      clients_(reactor, pool_, log, *this, {facts.handlerNames, facts.customerNames},
-               forBalancers(place.descriptors)),
-      servers_(reactor, pool_, log, *this, addressOf(place.next), forCalls(place.descriptors)),
-      engine_(reactor, pool_, log, *this, net::Connection::Address(place.engine)) {
-  if (const auto address = addressOf(place.list))
-    list_ = std::make_unique<net::List>(reactor, pool_, log, *address, place.name);
+      configured_(std::move(configured)),
+      clients_(reactor, pool_, log, *this, {facts_.handlerNames, facts_.customerNames},
+               forBalancers(place_.descriptors)),
+      servers_(reactor, pool_, log, *this, addressOf(place_.next), forCalls(place_.descriptors)),
+      engine_(reactor, pool_, log, *this, net::Connection::Address(place_.engine)) {
+  if (const auto address = addressOf(place_.list))
+    list_ = std::make_unique<net::List>(reactor, pool_, log, *address, place_.name);
 }
 
 Server::~Server() {
@@ -50,6 +51,22 @@
   log_.line(net::Matter::start, "{} serves at {}", place_.name, place_.listen);
 }
 
+void Server::reload(const Configured& offered) {
+  Place& place = configured_.place;
+  const auto left = leftByReload(configured_, offered);
+  place.engine = offered.place.engine, place.next = offered.place.next, place.list = offered.place.list;
+  place.stopAfter = offered.place.stopAfter;
+  log_.line(net::Matter::start, "configuration read again: engine {}, next tier {}, list {}{}{}",
+            place.engine, place.next.empty() ? "none" : place.next, place.list.empty() ? "none" : place.list,
+            left.empty() ? "" : "; left as it is until a restart: ", fmt::join(left, ", "));
+  engine_.moveTo(net::Connection::Address(place.engine));
+  servers_.moveTo(addressOf(place.next));
+  const auto list = addressOf(place.list);
+  if (list && list_) return list_->moveTo(*list);
+  list_ = list ? std::make_unique<net::List>(reactor_, pool_, log_, *list, place.name) : nullptr;
+  if (list_) list_->takesWork(good_);
+}
+
 // The module counts from the engine's start, since that is what is cold or warm; before the engine is up no
 // req comes, and one that comes all the same opens it.
 void Server::openModule(bool cold, Span since) {
@@ -199,6 +216,15 @@
 
 void Server::gauges(std::uint64_t question, const std::vector<double>& values) { ring(question, values); }
 
+// Nothing of this req runs there any more. One whose launch was refused never began: no repeat is to wait for
+// what it never did.
+void Server::commandRefused(const std::string& name, const std::string& command) {
+  const auto id = table_.named(name);
+  if (!id || table_.find(*id)->course < Course::running) return;
+  runEnded(std::string(name), Outcome::errored, net::Reactor::Clock::now() - table_.find(*id)->since, {});
+  if (command == "launch") marks_.forget(*id);
+}
+
 void Server::ring(std::uint64_t question, const std::vector<double>& values) {
   const auto it = ringing_.find(question);
   if (it == ringing_.end()) return;
@@ -264,6 +290,7 @@
   table_.waitFor(*req->repeats, action.id);
 }
 void Server::perform(const SayHealth& action) {
+  good_ = action.good;
   clients_.sayHealth(action.good);
   if (list_) list_->takesWork(action.good);
 }
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -23,12 +23,14 @@
 
 class Server final : net::Clients::Hearer, net::Engine::Hearer, net::Servers::Hearer {
  public:
-  Server(net::Reactor& reactor, net::Log& log, const Place& place, const Facts& facts);
+  Server(net::Reactor& reactor, net::Log& log, Configured configured);
   ~Server() override;
 
   // Binds its address; throws Poco::Exception where that can't be had.
   void open();
   Poco::Net::SocketAddress address() const { return clients_.address(); }
+  // A new configuration: peers that moved are reached where they are now, all in hand goes on.
+  void reload(const Configured& offered);
   // The notice to leave; the reactor stops once all is answered.
   void leave();
 
@@ -40,6 +42,7 @@
   void runEnded(const std::string& name, Outcome outcome, Span took, std::string&& result) override;
   void callWanted(const std::string& name, std::uint64_t notice, std::string&& body) override;
   void gauges(std::uint64_t question, const std::vector<double>& values) override;
+  void commandRefused(const std::string& name, const std::string& command) override;
   void callEnded(ReqId id, Outcome outcome, Span took, std::string&& reply) override;
 
   void openModule(bool cold, Span since);
@@ -76,8 +79,9 @@
 
   net::Reactor& reactor_;
   net::Log& log_;
-  const Place place_;
-  const Facts facts_;
+  Configured configured_;  // the place may change by a reload, the facts never do
+  const Place& place_ = configured_.place;
+  const Facts& facts_ = configured_.facts;
   net::BufferPool pool_;
   net::Clients clients_;
   net::Servers servers_;
@@ -102,7 +106,7 @@
   } counts_;
   net::Reactor::Timer again_, reporting_, leaving_;
   std::optional<Moment> stopAt_;
-  bool fresh_ = false, waved_ = false;  // fresh: the module has not been asked yet
+  bool good_ = true, fresh_ = false, waved_ = false;  // fresh: the module has not been asked yet
 };
 
 }  // namespace rainhook::server
