Silence, floods and far-off times of bad clients are bounded; a broken call is made again

Now: a connection must say something, and end what it began, within 2 s; strangers give way first; beyond 32 open reqs a flood is refused at once; a number that is open ends its connection; output, table bounded from the memory limit; a call cut off with its connection is made once more where the handler is replayable.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -186,6 +186,8 @@
     --made_;
     if (mayLinger && b_.linger > 0s) given_.push_back(now + b_.linger);
   }
+  // A broken connection says nothing of the dependency: what may be called again is worth another try.
+  static bool broke(Outcome o) { return o == Outcome::cutShort || o == Outcome::unreachable; }
   static bool provesNotRun(Outcome o) {
     return o == Outcome::refused || o == Outcome::unreachable || o == Outcome::moot;
   }
@@ -318,8 +320,8 @@
   Span arrived{}, due{}, target{};
   Stage stage = Stage::fresh;
   Span started{}, offCore{}, off{};  // off: when it left the cores for a call
-  int calls = 0;
-  bool owed = true, ran = false, callFailed = false, reuses = false;
+  int calls = 0, callFails = 0;      // the call's failures, in a row
+  bool owed = true, ran = false, reuses = false;
   Outcome lastCall = Outcome::done;
 };
 
@@ -369,7 +371,7 @@
     guard_.take(e.heldKb);
     reqs_.insert_or_assign(e.id, req);
     fresh_.push_back(e.id);
-    unread_ += (seconds(e.unread) - unread_) * 0.1;
+    unread_ += (seconds(std::min(e.unread, terms.clientTimeout)) - unread_) * 0.1;
     leastUnread_ = std::min(leastUnread_, seconds(e.unread));
   }
   void take(const RunEnded& e) {
@@ -409,12 +411,11 @@
     req->lastCall = e.outcome;
     if (e.outcome == Outcome::done) {
       ++req->calls;
-      req->callFailed = false;
+      req->callFails = 0;
       move(*req, Stage::onCore);
     } else {
       req->stage = Stage::wanting;
-      if (req->callFailed) req->calls = -1;  // failed twice
-      req->callFailed = true;
+      ++req->callFails;
       wants_.push_back(e.id);
     }
   }
@@ -533,10 +534,11 @@
       const HandlerTerms& terms = handlers_[index(req->read.handler)];
       const bool repeatable = terms.effect == Effect::replayable || Calls::provesNotRun(req->lastCall);
       const bool late = now_ + spanOf(pace_.call() * 1.5) > req->target;
-      if (terms.skipValue > 0 && (late || req->callFailed)) {
+      const bool again = repeatable && req->callFails < 2 && Calls::broke(req->lastCall);
+      if (terms.skipValue > 0 && (late || (req->callFails > 0 && !again))) {
         move(*req, Stage::onCore);
         say(SkipCall{id});
-      } else if ((req->callFailed && !repeatable) || req->calls < 0 || (late && callsWait)) {
+      } else if ((req->callFails > 0 && !repeatable) || req->callFails > 1 || (late && callsWait)) {
         giveUp(*req, true);
       } else if (!calls_.room(now_)) {
         wants_.push_back(id);
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -75,14 +75,14 @@
 
 }  // namespace
 
-Clients::Clients(Reactor& reactor, BufferPool& pool, Log& log, Hearer& hearer, Names names,
-                 std::size_t mostOpen)
+Clients::Clients(Reactor& reactor, BufferPool& pool, Log& log, Hearer& hearer, Names names, Most most)
     : reactor_(reactor),
       pool_(pool),
       log_(log),
       hearer_(hearer),
       names_(std::move(names)),
-      mostOpen_(mostOpen) {}
+      mostOpen_(most.connections),
+      mostOutput_(most.output) {}
 
 void Clients::listen(const Poco::Net::SocketAddress& address) {
   listener_.bind(address, true);
@@ -104,11 +104,11 @@
 void Clients::acceptable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&) {
   try {
     for (int i = 0; i < 64; ++i) {
+      if (!listener_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) return;
       if (clients_.size() >= mostOpen_ && !closeOneIdle()) {
         log_.line(Matter::clients, "{} connections open, none idle: accepting rests", clients_.size());
         return wantAccepting(false);
       }
-      if (!listener_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) return;
       take(listener_.acceptConnection());
     }
   } catch (const Poco::Exception& error) {
@@ -144,8 +144,12 @@
     return 0;
   }
   const auto frame = thrift::readFrame(bytes, longestFrame);
-  if (!frame) return 0;
-  client.usedAt = Reactor::Clock::now();
+  const auto now = Reactor::Clock::now();
+  if (!frame) {
+    if (!client.begunAt) client.begunAt = now;
+    return 0;
+  }
+  client.usedAt = now, client.begunAt.reset(), client.spoke = true;
   message(id, thrift::readMessage(frame->content));
   return frame->size;
 }
@@ -200,8 +204,9 @@
   const std::chrono::milliseconds came(given.number<std::int64_t>("t0", 0, longTime));
   const std::chrono::milliseconds budget(given.number<std::int64_t>("budget", 0, 86'400'000));
   req.heldKb = given.number<double>("mem", 0, 2000);
-  if (req.heldKb <= 0) given.wrong("mem");
+  if (req.heldKb <= 0 || req.heldKb >= 2000) given.wrong("mem");
   req.rank = given.number<double>("prio", 0, 1);
+  if (req.rank >= 1) given.wrong("prio");
   if (!given.text("obj").empty()) req.subject = SubjectId{given.number<std::uint64_t>("obj", 0, ~0ULL, 16)};
   // Sites with uniqued handlers and hints name them so; PROTOCOL leaves both out of its table.
   req.mark = given.text("token");
@@ -209,22 +214,25 @@
     req.workHint = Span(std::chrono::microseconds(
         static_cast<std::int64_t>(given.number<double>("est", 0, 86'400'000) * 1000)));
   if (req.body.size() > 2048) fault = "a body over 2 KiB";
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  req.unread = std::clamp<Span>(now - came, 0s, 1h);
-  req.patience = std::max<Span>(came + budget - now, 0s);
-  return fault.empty();
+  // One that nobody has waited for this long, or that is yet to come, would only mislead about the load.
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  if (came + budget + longPast < now || came > now + clocksDiffer) given.wrong("t0");
+  if (!fault.empty()) return false;
+  req.unread = std::max<Span>(now - came, 0s);
+  req.patience = std::clamp<Span>(came + budget - now, 0s, budget);
+  return true;
 }
 
 void Clients::call(ClientId id, const thrift::Message& message) {
   Client& client = clients_.at(id);
-  if (client.owed.contains(message.sequence)) {
-    log_.line(Matter::clients, "a number that is open already is passed over: {}", message.sequence);
-    return;
-  }
+  // An answer under this number would be taken for the open one's.
+  if (client.owed.contains(message.sequence)) throw Nonsense("a number that is open already");
   ArrivedReq req;
   req.ticket = {id, message.sequence};
   std::string fault;
-  if (!readReq(message, req, fault)) {
+  if (client.owed.size() >= mostOwed) fault = "more open than the protocol allows";
+  if (!fault.empty() || !readReq(message, req, fault)) {
     constexpr std::int32_t internalError = 6;
     log_.line(Matter::clients, "a req that can't be served: {}", fault);
     return client.connection->write(exception(message, fault, internalError));
@@ -321,34 +329,54 @@
 
 bool Clients::quiet(const Client& client) { return client.owed.empty() && client.connection->waiting() == 0; }
 
-bool Clients::full(const Client& client) {
-  return client.connection->waiting() > mostWaiting || client.owed.size() >= mostOwed;
-}
+bool Clients::full(const Client& client) { return client.connection->waiting() > mostWaiting; }
 
-// A connection on which nothing is open may be closed at any time.
+// A connection on which nothing is open may be closed at any time; first those that have never said anything.
 bool Clients::closeOneIdle() {
   const auto* longest = static_cast<std::pair<const ClientId, Client>*>(nullptr);
+  const auto order = [](const Client& client) { return std::pair(client.spoke, client.usedAt); };
   for (auto& entry : clients_)
-    if (quiet(entry.second) && (!longest || entry.second.usedAt < longest->second.usedAt)) longest = &entry;
+    if (quiet(entry.second) && (!longest || order(entry.second) < order(longest->second))) longest = &entry;
   if (longest) left(longest->first, Ending::closedByPeer, "idle");
   return longest != nullptr;
 }
 
-// Idle connections are asked to close; those that were asked and have not are closed; paused ones are read
-// on.
+// Callers that do not read what they are sent give way, the furthest behind first.
+void Clients::boundOutput() {
+  std::size_t all = 0;
+  for (const auto& [id, client] : clients_) all += client.connection->waiting();
+  while (all > mostOutput_) {
+    const auto most = std::max_element(clients_.begin(), clients_.end(), [](const auto& a, const auto& b) {
+      return a.second.connection->waiting() < b.second.connection->waiting();
+    });
+    all -= most->second.connection->waiting();
+    log_.line(Matter::clients, "a caller that does not read is closed, {} bytes behind",
+              most->second.connection->waiting());
+    left(most->first, Ending::closedByPeer, "does not read");
+  }
+}
+
+// Idle connections are asked to close; those that were asked and have not are closed, and so are those that
+// say nothing at first or stop within a message; paused ones are read on.
 void Clients::sweep() {
   sweeping_ = reactor_.after(sweepEvery, [this] { sweep(); });
   const auto now = Reactor::Clock::now();
   std::vector<ClientId> over, ready;
   for (auto& [id, client] : clients_) {
     const bool wavedLong = client.wavedAt && now - std::max(*client.wavedAt, client.usedAt) > waveLasts;
-    if (quiet(client) && (client.sendsNoMore || wavedLong))
+    const auto silentSince = client.begunAt ? client.begunAt
+                             : client.spoke ? std::nullopt
+                                            : std::optional(client.usedAt);
+    const bool stuck =
+        silentSince && client.owed.empty() && now - *silentSince > wholeWithin && !full(client);
+    if (stuck || (quiet(client) && (client.sendsNoMore || wavedLong)))
       over.push_back(id);
     else if (quiet(client) && idleAfter_ && now - client.usedAt > *idleAfter_)
       wave(client);
     ready.push_back(id);
   }
   for (const ClientId id : over) left(id, Ending::closedByPeer, "idle");
+  boundOutput();
   for (const ClientId id : ready) readOn(id);
   if (listening_ && clients_.size() < mostOpen_) wantAccepting(true);
 }
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -52,7 +52,12 @@
     std::vector<std::string> handlers, customers;
   };
 
-  Clients(Reactor& reactor, BufferPool& pool, Log& log, Hearer& hearer, Names names, std::size_t mostOpen);
+  // Worked out from the limits: connections, and bytes that wait to be sent on all of them.
+  struct Most {
+    std::size_t connections = 0, output = 0;
+  };
+
+  Clients(Reactor& reactor, BufferPool& pool, Log& log, Hearer& hearer, Names names, Most most);
 
   void listen(const Poco::Net::SocketAddress& address);
   Poco::Net::SocketAddress address() const { return listener_.address(); }
@@ -71,8 +76,8 @@
     std::shared_ptr<Connection> connection;
     std::map<std::int32_t, ReqId> owed;  // a req leaves when it is answered or its caller has left
     Reactor::Clock::time_point usedAt;
-    std::optional<Reactor::Clock::time_point> wavedAt;
-    bool sendsNoMore = false;
+    std::optional<Reactor::Clock::time_point> wavedAt, begunAt;  // begun: a message that is not whole yet
+    bool sendsNoMore = false, spoke = false;
   };
 
   void acceptable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
@@ -89,22 +94,25 @@
   void declared(Ticket ticket, std::int16_t exception, const thrift::Fields& fields);
   void wave(Client& client);
   void sweep();
+  void boundOutput();
   void readOn(ClientId id);
   static bool quiet(const Client& client);
   static bool full(const Client& client);
   bool closeOneIdle();
   thrift::Fields spoken() const;
 
-  static constexpr std::size_t longestFrame = 8 * 1024, mostWaiting = 32 * 1024, mostOwed = 64;
+  static constexpr std::size_t longestFrame = 8 * 1024, mostWaiting = 32 * 1024, mostOwed = 32;
   static constexpr int kernelHolds = 64 * 1024;
-  static constexpr Span sweepEvery = std::chrono::milliseconds(100), waveLasts = std::chrono::seconds(1);
+  static constexpr Span sweepEvery = std::chrono::milliseconds(100), waveLasts = std::chrono::seconds(1),
+                        wholeWithin = std::chrono::seconds(2), longPast = std::chrono::seconds(10),
+                        clocksDiffer = std::chrono::seconds(5);
 
   Reactor& reactor_;
   BufferPool& pool_;
   Log& log_;
   Hearer& hearer_;
   const Names names_;
-  const std::size_t mostOpen_;
+  const std::size_t mostOpen_, mostOutput_;
   Poco::Net::ServerSocket listener_;
   Poco::NObserver<Clients, Poco::Net::ReadableNotification> onAccept_{*this, &Clients::acceptable};
   bool listening_ = false, accepting_ = false;
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -23,6 +23,11 @@
   return std::max(all / 8, all - std::min(all, forBalancers(all) + ownDescriptors));
 }
 
+// Memory: a quarter of it for reqs in hand, each with a body of 2 kB and a reply of 4 kB at most; an eighth
+// for what waits to be sent.
+constexpr std::size_t inHandBytes = 8 * 1024;
+std::size_t megabytes(int count) { return static_cast<std::size_t>(count) << 20; }
+
 }  // namespace
 
 Server::Server(net::Reactor& reactor, net::Log& log, Configured configured)
@@ -30,7 +35,7 @@
       log_(log),
       configured_(std::move(configured)),
       clients_(reactor, pool_, log, *this, {facts_.handlerNames, facts_.customerNames},
-               forBalancers(place_.descriptors)),
+               {forBalancers(place_.descriptors), megabytes(place_.memoryMb) / 8}),
       servers_(reactor, pool_, log, *this, addressOf(place_.next), forCalls(place_.descriptors)),
       engine_(reactor, pool_, log, *this, net::Connection::Address(place_.engine)) {
   if (const auto address = addressOf(place_.list))
@@ -98,6 +103,10 @@
 
 // News of the peers.
 std::optional<ReqId> Server::reqCame(net::ArrivedReq&& req) {
+  if (table_.size() >= megabytes(place_.memoryMb) / 4 / inHandBytes) {
+    log_.line(net::Matter::clients, "{} reqs in hand: no more are taken", table_.size());
+    return std::nullopt;
+  }
   if (table_.named(req.name)) {
     log_.line(net::Matter::clients, "a req whose name is in hand already: {}", req.name);
     return std::nullopt;
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -262,5 +262,27 @@
   EXPECT_TRUE(w.broken.empty());
 }
 
+// A connection that broke under a call says nothing of the dependency: a replayable req calls once more, then
+// goes on without. One that must not be called twice goes on without at once.
+TEST(Calls, ABrokenConnectionIsTriedOnceMoreWhereThatIsSafe) {
+  for (const auto effect : {Effect::replayable, Effect::nonReplayable}) {
+    World w;
+    w.handlers[0].skipValue = 0.3, w.handlers[0].calls = true, w.handlers[0].effect = effect;
+    w.open();
+    const ReqId id = w.arrive();
+    w.pass(10ms);
+    w.want(id);
+    w.pass(10ms);
+    ASSERT_EQ(w.callsMade, 1);
+    w.endCall(id, Outcome::cutShort);
+    w.pass(10ms);
+    EXPECT_EQ(w.callsMade, effect == Effect::replayable ? 2 : 1);
+    if (effect == Effect::replayable) w.endCall(id, Outcome::cutShort);
+    w.pass(10ms);
+    EXPECT_EQ(w.reqs.at(id).where, Where::running);  // without its call
+    EXPECT_TRUE(w.broken.empty());
+  }
+}
+
 }  // namespace
 }  // namespace rainhook
