--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -88,9 +88,13 @@
     if (line->empty()) break;
     const auto colon = line->find(':');
     if (colon == std::string_view::npos) throw Nonsense("a header without a colon");
-    out.headers.insert_or_assign(lower(line->substr(0, colon)),
-                                 std::string(trimmed(line->substr(colon + 1))));
+    const std::string value(trimmed(line->substr(colon + 1)));
+    const auto [header, isNew] = out.headers.try_emplace(lower(line->substr(0, colon)), value);
+    if (!isNew && header->first == "content-length" && header->second != value)
+      throw Nonsense("two different lengths of the content");
   }
+  if (out.headers.contains("content-length") && out.headers.contains("transfer-encoding"))
+    throw Nonsense("a length of the content beside chunks");
   if (const auto connection = lower(out.header("connection")); connection.find("close") != std::string::npos)
     out.keeps = false;
   return true;
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -24,7 +24,7 @@
 }
 
 // Memory: a quarter of it for reqs in hand, each with a body of 2 kB and a reply of 4 kB at most; an eighth
-// for what waits to be sent.
+// for what waits to be sent, and one for the results that are kept.
 constexpr std::size_t inHandBytes = 8 * 1024;
 std::size_t megabytes(int count) { return static_cast<std::size_t>(count) << 20; }
 
@@ -37,7 +37,8 @@
       clients_(reactor, pool_, log, *this, {facts_.handlerNames, facts_.customerNames},
                {forBalancers(place_.descriptors), megabytes(place_.memoryMb) / 8}),
       servers_(reactor, pool_, log, *this, addressOf(place_.next), forCalls(place_.descriptors)),
-      engine_(reactor, pool_, log, *this, net::Connection::Address(place_.engine)) {
+      engine_(reactor, pool_, log, *this, net::Connection::Address(place_.engine)),
+      marks_(megabytes(place_.memoryMb) / 8) {
   if (const auto address = addressOf(place_.list))
     list_ = std::make_unique<net::List>(reactor, pool_, log, *address, place_.name);
 }
--- a/src/server/table.cpp
+++ b/src/server/table.cpp
@@ -61,6 +61,7 @@
       return;
     }
     keys_.erase(it->second.holder);
+    dropResult(it->second);
   }
   kept_.insert_or_assign(key, Kept{id, until, {}, End::none, {}});
   keys_.insert_or_assign(id, key);
@@ -69,15 +70,28 @@
 void Marks::forget(ReqId id) {
   const auto it = keys_.find(id);
   if (it == keys_.end()) return;
+  dropResult(kept_.at(it->second));
   kept_.erase(it->second);
   keys_.erase(it);
 }
 
+void Marks::dropResult(Kept& kept) {
+  results_ -= kept.result.size();
+  kept.result.clear();
+}
+
 void Marks::ended(ReqId id, End end, Moment at, const std::string& result) {
   const auto it = keys_.find(id);
   if (it == keys_.end()) return;
   Kept& kept = kept_.at(it->second);
-  kept.end = end, kept.endedAt = at, kept.result = result;
+  dropResult(kept);
+  kept.end = end, kept.endedAt = at;
+  if (results_ + result.size() > mostResults_) {
+    kept.end = End::errored;
+    return;
+  }
+  kept.result = result;
+  results_ += result.size();
 }
 
 void Marks::expire(Moment now) {
@@ -85,9 +99,10 @@
   nextLook_ = now + lookEvery;
   for (auto it = kept_.begin(); it != kept_.end();) {
     Kept& kept = it->second;
-    if (kept.until <= now && kept.end == End::done) kept.end = End::errored, kept.result.clear();
+    if (kept.until <= now && kept.end == End::done) kept.end = End::errored, dropResult(kept);
     if (kept.until + readLate <= now) {
       keys_.erase(kept.holder);
+      dropResult(kept);
       it = kept_.erase(it);
     } else {
       ++it;
--- a/src/server/table.h
+++ b/src/server/table.h
@@ -60,6 +60,9 @@
   };
   enum class End { none, done, errored };
 
+  // What is kept of results takes no more than this; a repeat of one beyond it is errored.
+  explicit Marks(std::size_t mostResults) : mostResults_(mostResults) {}
+
   static std::optional<Key> keyOf(const net::ArrivedReq& req, const std::vector<HandlerTerms>& handlers);
 
   // The req that one with this key repeats, kept or read earlier in the same turn. A read repeats only what
@@ -79,6 +82,10 @@
   const Kept* find(ReqId id) const;
 
  private:
+  void dropResult(Kept& kept);
+
+  const std::size_t mostResults_;
+  std::size_t results_ = 0;  // bytes
   std::map<Key, Kept> kept_;
   std::map<ReqId, Key> keys_;
   std::map<Key, ReqId> turn_;  // what was read in this turn
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -104,9 +104,12 @@
   EXPECT_FALSE(
       http::readResponse("HTTP/1.1 200 OK\r\nConnection: Close\r\nContent-Length: 0\r\n\r\n")->keeps);
   EXPECT_FALSE(http::readResponse("HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n")->keeps);
-  for (const char* bad : {"SMTP ready, hello\r\n\r\n", "HTTP/1.1 abc OK\r\n\r\n",
-                          "HTTP/1.1 200 OK\r\nx\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
-                          "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"})
+  for (const char* bad :
+       {"SMTP ready, hello\r\n\r\n", "HTTP/1.1 abc OK\r\n\r\n", "HTTP/1.1 200 OK\r\nx\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"})
     EXPECT_THROW(http::readResponse(bad), Nonsense) << bad;
 }
 
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -237,6 +237,22 @@
   EXPECT_EQ(client.answer().body, "shared");
 }
 
+// Kept results are bounded: what has no room any more is errored, and room comes back when they go.
+TEST(Marks, KeepNoMoreResultsThanTheyMay) {
+  server::Marks marks(10);
+  const server::Moment at{};
+  const auto key = [](const char* mark) { return server::Marks::Key{HandlerId{1}, mark, {}}; };
+  for (std::uint32_t i = 1; i <= 2; ++i) {
+    marks.keep(key(i == 1 ? "a" : "b"), ReqId{i}, at + 5s);
+    marks.ended(ReqId{i}, server::Marks::End::done, at, "eight by");
+  }
+  EXPECT_EQ(marks.find(ReqId{1})->result, "eight by");
+  EXPECT_EQ(marks.find(ReqId{2})->end, server::Marks::End::errored);
+  marks.forget(ReqId{1});
+  marks.ended(ReqId{2}, server::Marks::End::done, at, "eight by");
+  EXPECT_EQ(marks.find(ReqId{2})->result, "eight by");
+}
+
 TEST(ServerEngine, ABrokenLinkLosesAndDoublesNothing) {
   Peers w;
   w.start();
