Balancers' numbers may be any; reports to the list and the engine's silence hold up nothing

Ruled out: memory (1 of 32 MB), descriptors (176 of 384), the engine (idle). The number is as wide as the caller sends it now.

A link to the engine that stands but says nothing for 3 s is made anew. The 5 s line says what is in hand by where it stands beside what the engine counts.

--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -19,7 +19,7 @@
 enum class ReqId : std::uint32_t {};
 enum class HandlerId : std::uint8_t {};
 enum class CustomerId : std::uint16_t {};
-enum class CallerId : std::uint16_t {};
+enum class CallerId : std::uint64_t {};
 enum class SubjectId : std::uint64_t {};
 enum class TimerId : std::uint32_t {};
 enum class Seed : std::uint64_t {};
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -199,7 +199,7 @@
   req.handler = HandlerId{static_cast<std::uint8_t>(given.place("method", names_.handlers))};
   if (!names_.customers.empty())
     req.customer = CustomerId{static_cast<std::uint16_t>(given.place("acct", names_.customers))};
-  req.caller = CallerId{given.number<std::uint16_t>("peer", 0, 65535)};
+  req.caller = CallerId{given.number<std::uint64_t>("peer", 0, ~0ULL)};
   constexpr std::int64_t longTime = 4'000'000'000'000'000;
   const std::chrono::milliseconds came(given.number<std::int64_t>("t0", 0, longTime));
   const std::chrono::milliseconds budget(given.number<std::int64_t>("budget", 0, 86'400'000));
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -36,6 +36,7 @@
   };
   callbacks.ended = [this](Ending, const std::string& why) { lost(why); };
   greeted_ = false;
+  waitingSince_.reset();
   connection_ = Connection::to(address_, reactor_, pool_, std::move(callbacks));
   connection_->write(jsonl::writeLine({{"msg", "subscribe"}, {"serial", lastNotice_}}));
 }
@@ -71,6 +72,11 @@
 }
 void Engine::ask(std::uint64_t question) {
   asked_ = question, askedAt_ = Reactor::Clock::now();
+  if (greeted_ && waitingSince_ && askedAt_ - *waitingSince_ > answersWithin) {
+    connection_->close();
+    return lost("its questions are not answered");
+  }
+  if (!waitingSince_) waitingSince_ = askedAt_;
   say({{"msg", "sample"}, {"cookie", std::to_string(question)}});
 }
 
@@ -86,6 +92,7 @@
 }
 
 void Engine::came(const json& line) {
+  waitingSince_.reset();
   const std::string kind = text(line, "msg"), name = text(line, "call"), how = text(line, "how");
   if (kind == "outcome") {
     Outcome outcome = Outcome::errored;
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,7 +50,8 @@
   bool say(const nlohmann::json& line);
   void lost(const std::string& why);
 
-  static constexpr Reactor::Wait again = std::chrono::milliseconds(50);
+  static constexpr Reactor::Wait again = std::chrono::milliseconds(50),
+                                 answersWithin = std::chrono::seconds(3);
   static constexpr std::size_t mostWaiting = 1 << 20;
 
   Reactor& reactor_;
@@ -61,6 +63,7 @@
   bool greeted_ = false, catchingUp_ = false, lostSaid_ = false;
   std::uint64_t lastNotice_ = 0, asked_ = 0;
   Reactor::Clock::time_point askedAt_{}, readUntil_{}, linkedAt_{};
+  std::optional<Reactor::Clock::time_point> waitingSince_;  // of the first question since it last spoke
   Reactor::Timer retry_;
 };
 
--- a/src/net/list.h
+++ b/src/net/list.h
@@ -1,7 +1,10 @@
-// The list of servers: says there again and again that this one takes work, or that it does not. A list that
-// can't be reached is tried again. The protocol's names end in list.cpp.
+// The list of servers: says there again and again that this one takes work, or that it does not. Each report
+// has a connection of its own, so one that is never answered, or late, holds up none of the next. The
+// protocol's names end in list.cpp.
 #pragma once
 
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -19,20 +22,27 @@
   void moveTo(const Connection::Address& address);
 
  private:
-  void report();
   void startOver();
-  void settle(bool counted, const std::string& why);
+  void report();
+  void settle(std::uint64_t number, bool counted, const std::string& why);
+
+  static constexpr Reactor::Wait every = std::chrono::milliseconds(800),
+                                 again = std::chrono::milliseconds(250),
+                                 patience = std::chrono::milliseconds(2500);
+  struct Report {
+    std::shared_ptr<Connection> connection;
+    Reactor::Timer patience;
+  };
 
-  static constexpr Reactor::Wait every = std::chrono::milliseconds(800), patience = std::chrono::seconds(1),
-                                 again = std::chrono::milliseconds(250);
   Reactor& reactor_;
   BufferPool& pool_;
   Log& log_;
   Connection::Address address_;
   const std::string name_;
-  bool does_ = true, asked_ = false, reached_ = true;
-  std::shared_ptr<Connection> connection_;
-  Reactor::Timer next_;  // the next report, or the end of the patience with this one
+  bool does_ = true, reached_ = true;
+  std::map<std::uint64_t, Report> reports_;  // a report leaves when it is answered, breaks or is given up
+  std::uint64_t numbered_ = 0;
+  Reactor::Timer next_;
 };
 
 }  // namespace rainhook::net
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -114,7 +114,7 @@
   }
   openModule(facts_.machine.cold, 0s);
   const ReqId id{++reqs_};
-  ++counts_.read;
+  ++counts_.read, counts_.unread += req.unread;
   ReqRead read;
   read.id = id;
   read.handler = req.handler;
@@ -184,6 +184,7 @@
 void Server::callEnded(ReqId id, Outcome outcome, Span took, std::string&& reply) {
   InHand* req = table_.find(id);
   if (!req || req->course != Course::calling) return;
+  counts_.callsDone += outcome == Outcome::done;
   tell(CallEnded{id, outcome, took});
   if (outcome != Outcome::done) {
     req->course = Course::wantsCall;
@@ -238,7 +239,9 @@
 void Server::ring(std::uint64_t question, const std::vector<double>& values) {
   const auto it = ringing_.find(question);
   if (it == ringing_.end()) return;
-  tell(timerRang(it->second.timer, values, facts_.gauges));
+  const auto rang = timerRang(it->second.timer, values, facts_.gauges);
+  if (rang.wantingCore) wantingCore_ = rang.wantingCore;
+  tell(rang);
   ringing_.erase(it);
 }
 
@@ -271,6 +274,7 @@
   InHand* req = table_.find(action.id);
   if (!req || req->course != Course::wantsCall) return;
   req->course = Course::calling;
+  ++counts_.calls;
   servers_.call(action.id, req->req.name, action.limit, req->reply);
 }
 void Server::perform(const SkipCall& action) {
@@ -345,11 +349,27 @@
   reporting_ = reactor_.after(reportEvery, [this] { report(); });
   const auto counts = std::exchange(counts_, {});
   if (counts.read + counts.shed + counts.errored == 0) return;
-  log_.line(net::Matter::start,
-            "in {} s: read {}, done {}, shed {}, errored {}, callers gone {}; in hand {}, "
-            "connections {}",
-            std::chrono::duration_cast<std::chrono::seconds>(reportEvery).count(), counts.read, counts.done,
-            counts.shed, counts.errored, counts.left, table_.size(), clients_.open());
+  const auto now = standing();
+  log_.line(
+      net::Matter::start,
+      "in {} s: read {} (unread for {} ms), done {}, shed {}, errored {}, callers gone {}; calls {}, done "
+      "{}; "
+      "now held {}, on cores {} (the engine counts {:.0f}), at calls {}, owed to nobody {}; connections {}",
+      std::chrono::duration_cast<std::chrono::seconds>(reportEvery).count(), counts.read,
+      std::chrono::duration_cast<std::chrono::milliseconds>(counts.unread).count() /
+          static_cast<std::int64_t>(std::max<std::uint64_t>(counts.read, 1)),
+      counts.done, counts.shed, counts.errored, counts.left, counts.calls, counts.callsDone, now.held,
+      now.onCores, wantingCore_.value_or(-1), now.atCalls, now.unowed, clients_.open());
+}
+
+Server::Standing Server::standing() const {
+  Standing out;
+  for (const auto& [id, req] : table_.all()) {
+    ++(req.course < Course::running ? out.held : req.course == Course::running ? out.onCores : out.atCalls);
+    out.unowed += !req.owed;
+  }
+  out.callsOpen = servers_.open();
+  return out;
 }
 
 // Leaving: the module hears that it ends a little before the stop; late in it callers are asked to close
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -31,6 +31,13 @@
   Poco::Net::SocketAddress address() const { return clients_.address(); }
   // A new configuration: peers that moved are reached where they are now, all in hand goes on.
   void reload(const Configured& offered);
+  // What is in hand now, by where it stands; said in the log every few seconds, to hold against the engine's
+  // gauges.
+  struct Standing {
+    std::size_t held = 0, onCores = 0, atCalls = 0, unowed = 0, callsOpen = 0;
+    auto operator<=>(const Standing&) const = default;
+  };
+  Standing standing() const;
   // The notice to leave; the reactor stops once all is answered.
   void leave();
 
@@ -102,10 +109,12 @@
   std::map<std::uint64_t, net::Reactor::Timer> set_;  // a timer leaves when it rings
   std::uint64_t timers_ = 0;
   struct Counts {
-    std::uint64_t read = 0, done = 0, shed = 0, errored = 0, left = 0;
+    std::uint64_t read = 0, done = 0, shed = 0, errored = 0, left = 0, calls = 0, callsDone = 0;
+    Span unread{};
   } counts_;
   net::Reactor::Timer again_, reporting_, leaving_;
   std::optional<Moment> stopAt_;
+  std::optional<double> wantingCore_;                 // as the engine said last
   bool good_ = true, fresh_ = false, waved_ = false;  // fresh: the module has not been asked yet
 };
 
--- a/tests/world.h
+++ b/tests/world.h
@@ -446,6 +446,14 @@
     if (thread_.joinable()) thread_.join();
     server_.reset();
   }
+  // What the server believes to have in hand, once it stands still.
+  server::Server::Standing standing() {
+    std::this_thread::sleep_for(100ms);
+    reactor_.stop();
+    reactor_.wakeUp();
+    thread_.join();
+    return server_->standing();
+  }
   void waitForEnd() { thread_.join(); }
   Balancer balancer() { return Balancer(Poco::Net::StreamSocket(server_->address())); }
 
