--- a/examples/toy.py
+++ b/examples/toy.py
@@ -51,7 +51,10 @@
             if "serial" in message:
                 self.serial += 1
                 message["serial"] = self.serial
-            self.link.sendall(json.dumps(message).encode() + b"\n")
+            try:
+                self.link.sendall(json.dumps(message).encode() + b"\n")
+            except OSError:  # the server has left
+                pass
 
     def run(self, call, blob):
         started = time.time()
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -92,7 +92,7 @@
   req.unread = in.span("unreadForNs");
   req.patience = in.span("budgetNs");
   req.customer = CustomerId{in.number<std::uint16_t>("project")};
-  req.caller = CallerId{in.number<std::uint64_t>("srcPeer")};
+  req.caller = CallerId{in.number<std::uint16_t>("srcPeer")};
   req.handler = HandlerId{in.number<std::uint8_t>("type")};
   return req;
 }
