--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -293,14 +293,14 @@
  public:
   Span age(Span patience, Span timeout) {
     const double share = seconds(patience) / seconds(timeout);
-    Habit* rarest = &habits_.front();
-    bool habit = false;
+    Habit *rarest = &habits_.front(), *known = nullptr;
     for (auto& h : habits_) {
       h.seen *= 0.995;
-      if (std::abs(h.share - share) < 0.003) habit = ++h.seen > 4;
+      if (!known && std::abs(h.share - share) < 0.003) known = &h;
       if (h.seen < rarest->seen) rarest = &h;
     }
-    if (!habit && rarest->seen < 0.9) *rarest = {share, 1};
+    if (!known && rarest->seen < 0.9) *rarest = {share, 1};
+    const bool habit = known && ++known->seen > 4;  // one row a habit: a common one leaves room to the others
     habitual_ += ((habit ? 1.0 : 0.0) - habitual_) * 0.03;
     return habit || habitual_ < 0.6 ? 0s : spanOf((1 - share) * seconds(timeout));
   }
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -284,5 +284,21 @@
   }
 }
 
+// A caller whose habit is the rarer one is no further try: the common habit leaves room to learn it.
+TEST(Waits, ACommonHabitDoesNotHideTheOthers) {
+  World w;
+  w.open();
+  int shed = 0;
+  for (int i = 0; i < 400; ++i) {
+    const bool rare = i % 5 == 4;
+    const ReqId id = w.arrive(0, rare ? 1550ms : 1500ms);
+    w.pass(5ms);
+    if (i > 200 && rare) shed += w.reqs.at(id).where == Where::over;
+    if (w.reqs.at(id).where == Where::running) w.end(id);
+    w.pass(5ms);
+  }
+  EXPECT_EQ(shed, 0);
+}
+
 }  // namespace
 }  // namespace rainhook
