--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -115,6 +115,7 @@
   }
   double core(const ReqRead& read) const { return core(read.handler) * size(read); }
   double callSlowness() const { return usualCall_ > 0 ? call() / usualCall_ : 1; }
+  Span longestCall() const { return callsSeen_ < 10 ? Span::max() : spanOf(farOut * call()); }
   double call() const { return calls_.each(usualCall_, 1); }
   double calls(HandlerId id) const { return rows_[index(id)].calls; }
   bool callsOut(HandlerId id) const { return calls(id) >= 0.1; }
@@ -130,7 +131,7 @@
   struct Row {
     double core = 0, calls = 0, seen = 0, least = 0, hint = 0;
   };
-  static constexpr double firstGuess = 0.1, halfLife = 1.5, leastAges = 0.02;
+  static constexpr double firstGuess = 0.1, halfLife = 1.5, leastAges = 0.02, farOut = 8;
   std::vector<Row> rows_;
   Meter cores_, calls_;
   double usualCall_ = 0, callsSeen_ = 0;
@@ -186,8 +187,6 @@
     --made_;
     if (mayLinger && b_.linger > 0s) given_.push_back(now + b_.linger);
   }
-  // A broken connection says nothing of the dependency: what may be called again is worth another try.
-  static bool broke(Outcome o) { return o == Outcome::cutShort || o == Outcome::unreachable; }
   static bool provesNotRun(Outcome o) {
     return o == Outcome::refused || o == Outcome::unreachable || o == Outcome::moot;
   }
@@ -389,10 +388,7 @@
       move(*req, Stage::held);
       --started_;
       guard_.take(req->read.heldKb - guard_.runKb(req->read.heldKb));
-      if (replayable(*req))
-        hold_.putBack(e.id);
-      else
-        giveUp(*req);
+      replayable(*req) ? hold_.putBack(e.id) : giveUp(*req);
       return;
     }
     gone(e.id);
@@ -534,7 +530,9 @@
       const HandlerTerms& terms = handlers_[index(req->read.handler)];
       const bool repeatable = terms.effect == Effect::replayable || Calls::provesNotRun(req->lastCall);
       const bool late = now_ + spanOf(pace_.call() * 1.5) > req->target;
-      const bool again = repeatable && req->callFails < 2 && Calls::broke(req->lastCall);
+      // While calls are as quick as usual, one that breaks or stays out far longer is worth another try.
+      const bool calm = pace_.callSlowness() < slowCalls && repeatable && req->callFails < 2;
+      const bool again = calm && req->lastCall != Outcome::refused;
       if (terms.skipValue > 0 && (late || (req->callFails > 0 && !again))) {
         move(*req, Stage::onCore);
         say(SkipCall{id});
@@ -545,8 +543,9 @@
       } else {
         req->stage = Stage::calling;
         calls_.make();
-        const Span rest = (now_ < req->target ? req->target : req->due) - now_;
-        say(Call{id, std::max<Span>(std::min(rest, calls_.longest()), 1ms)});
+        Span rest = std::min((now_ < req->target ? req->target : req->due) - now_, calls_.longest());
+        if (calm && req->callFails == 0) rest = std::min(rest, pace_.longestCall());
+        say(Call{id, std::max<Span>(rest, 1ms)});
       }
     }
 
@@ -690,6 +689,7 @@
   static constexpr Span quickEvery = 100ms, shortestIdle = 100ms;
   static constexpr double connectionsPerCore = 6, stormPerCore = 1;
   static constexpr double idleBelow = 0.85, holdPart = 0.3, doubt = 0.5, unreadLong = 0.3;
+  static constexpr double slowCalls = 2;
 
   const std::vector<HandlerTerms> handlers_;
   const Voice voice_;
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -284,13 +284,42 @@
   }
 }
 
+// While calls are quick, a reply that stays out far longer than usual is not waited for until it is too late:
+// a replayable req calls again in time. Where all calls are slow it waits, since another would only add to
+// that.
+TEST(Calls, AReplyThatStaysOutIsAskedForAgainWhileOthersAreQuick) {
+  for (const Span usual : {10ms, 400ms}) {
+    World w;
+    w.handlers[0].skipValue = 0.3, w.handlers[0].calls = true;
+    w.open();
+    const auto call = [&](Span takes) {
+      const ReqId id = w.arrive();
+      w.pass(5ms);
+      w.want(id);
+      w.pass(takes);
+      return id;
+    };
+    for (int i = 0; i < 60; ++i) {
+      const ReqId id = call(i < 30 ? 10ms : usual);
+      if (w.reqs.at(id).where == Where::calling) w.endCall(id, Outcome::done);
+      w.pass(5ms);
+      w.end(id);
+    }
+    const int before = w.callsMade;
+    const ReqId id = call(300ms);  // no reply comes
+    EXPECT_EQ(w.callsMade, before + (usual == 10ms ? 2 : 1));
+    EXPECT_EQ(w.reqs.at(id).where, Where::calling);
+    EXPECT_TRUE(w.broken.empty());
+  }
+}
+
 // A caller whose habit is the rarer one is no further try: the common habit leaves room to learn it.
 TEST(Waits, ACommonHabitDoesNotHideTheOthers) {
   World w;
   w.open();
   int shed = 0;
   for (int i = 0; i < 400; ++i) {
-    const bool rare = i % 5 == 4;
+    const bool rare = i > 50 && i % 5 == 4;  // it comes later than the common one
     const ReqId id = w.arrive(0, rare ? 1550ms : 1500ms);
     w.pass(5ms);
     if (i > 200 && rare) shed += w.reqs.at(id).where == Where::over;
