--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -187,6 +187,7 @@
     --made_;
     if (mayLinger && b_.linger > 0s) given_.push_back(now + b_.linger);
   }
+  bool shared() const { return b_.callShare > 0; }
   static bool provesNotRun(Outcome o) {
     return o == Outcome::refused || o == Outcome::unreachable || o == Outcome::moot;
   }
@@ -406,8 +407,7 @@
     pace_.called(e.took);
     req->lastCall = e.outcome;
     if (e.outcome == Outcome::done) {
-      ++req->calls;
-      req->callFails = 0;
+      ++req->calls, req->callFails = 0;
       move(*req, Stage::onCore);
     } else {
       req->stage = Stage::wanting;
@@ -530,9 +530,9 @@
       const HandlerTerms& terms = handlers_[index(req->read.handler)];
       const bool repeatable = terms.effect == Effect::replayable || Calls::provesNotRun(req->lastCall);
       const bool late = now_ + spanOf(pace_.call() * 1.5) > req->target;
-      // While calls are as quick as usual, one that breaks or stays out far longer is worth another try.
-      const bool calm = pace_.callSlowness() < slowCalls && repeatable && req->callFails < 2;
-      const bool again = calm && req->lastCall != Outcome::refused;
+      // While calls are quick and take no share, one that breaks or stays out is worth another try.
+      const bool calm = !calls_.shared() && pace_.callSlowness() < slowCalls && repeatable;
+      const bool again = calm && req->callFails < 2 && req->lastCall != Outcome::refused;
       if (terms.skipValue > 0 && (late || (req->callFails > 0 && !again))) {
         move(*req, Stage::onCore);
         say(SkipCall{id});
