--- a/src/main.cpp
+++ b/src/main.cpp
@@ -51,22 +51,13 @@
   return options;
 }
 
-// A configuration that can't be taken changes nothing.
-void reload(server::Server& server, net::Log& log, const std::string& file) {
-  try {
-    server.reload(readConfigurationFile(file));
-  } catch (const std::exception& fault) {
-    log.line(net::Matter::start, "the new configuration is not taken: {}", fault.what());
-  }
-}
-
 int serve(const std::string& file) {
   net::Log log;
   signal(SIGPIPE, SIG_IGN);
   net::Reactor reactor;
   std::optional<server::Server> server;  // a signal that comes before it is there waits in the reactor
   reactor.onSignals({SIGTERM, SIGINT, SIGHUP},
-                    [&](int signal) { signal == SIGHUP ? reload(*server, log, file) : server->leave(); });
+                    [&](int signal) { signal == SIGHUP ? server->reloadFrom(file) : server->leave(); });
   const auto configured = readConfigurationFile(file);
   server.emplace(reactor, log, configured);
   try {
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -73,6 +73,14 @@
   if (list_) list_->takesWork(good_);
 }
 
+void Server::reloadFrom(const std::string& file) {
+  try {
+    reload(readConfigurationFile(file));
+  } catch (const std::exception& fault) {
+    log_.line(net::Matter::start, "the new configuration is not taken: {}", fault.what());
+  }
+}
+
 // The module counts from the engine's start, since that is what is cold or warm; before the engine is up no
 // req comes, and one that comes all the same opens it.
 void Server::openModule(bool cold, Span since) {
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -31,6 +31,8 @@
   Poco::Net::SocketAddress address() const { return clients_.address(); }
   // A new configuration: peers that moved are reached where they are now, all in hand goes on.
   void reload(const Configured& offered);
+  // The same from a file; one that can't be taken changes nothing.
+  void reloadFrom(const std::string& file);
   // What is in hand now, by where it stands; said in the log every few seconds, to hold against the engine's
   // gauges.
   struct Standing {
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -411,6 +411,17 @@
   EXPECT_EQ(client.answer().number, 2);
 }
 
+TEST(ServerReload, AFileThatCantBeTakenChangesNothing) {
+  Peers w;
+  w.start();
+  w.file = "no such file";
+  w.engineAt = Peers::any();
+  w.reload();
+  auto client = w.balancer();
+  client.ask(1, Balancer::fields(one));
+  EXPECT_EQ(w.launched(), one);
+}
+
 TEST(ServerReload, BeforeTheEngineIsUpAndDuringADrainIsOrdinary) {
   Peers w;
   w.start(false);
--- a/tests/world.h
+++ b/tests/world.h
@@ -427,7 +427,8 @@
     server_ = std::make_unique<server::Server>(reactor_, log_,
                                                Configured{place, readFacts(pairsOfJson(settings)), {}});
     reactor_.onSignals({SIGTERM, SIGHUP}, [this](int signal) {
-      signal == SIGHUP ? server_->reload({place, {}, {}}) : server_->leave();
+      if (signal != SIGHUP) return server_->leave();
+      file.empty() ? server_->reload({place, {}, {}}) : server_->reloadFrom(file);
     });
     server_->open();
     thread_ = std::thread([this] { reactor_.run(); });
@@ -495,6 +496,7 @@
            std::string(body);
   }
   std::uint64_t notices = 0;
+  std::string file;  // read again on SIGHUP, where it is named
 
  private:
   net::Reactor reactor_;
