--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -200,7 +200,7 @@
   if (!names_.customers.empty())
     req.customer = CustomerId{static_cast<std::uint16_t>(given.place("acct", names_.customers))};
   req.caller = CallerId{given.number<std::uint64_t>("peer", 0, ~0ULL)};
-  constexpr std::int64_t longTime = 4'000'000'000'000'000;
+  constexpr std::int64_t longTime = 4'000'000'000'000;  // counts in nanoseconds, too
   const std::chrono::milliseconds came(given.number<std::int64_t>("t0", 0, longTime));
   const std::chrono::milliseconds budget(given.number<std::int64_t>("budget", 0, 86'400'000));
   req.heldKb = given.number<double>("mem", 0, 2000);
