One list of what waits for a restart; the health said last is kept once

Read again after the work for service: the four names that a reload leaves stood twice in place.cpp with a comparison of four cases, the server kept a copy of the health that Clients holds, main read the file's name twice, and a comment in Clients::came told of a limit that had moved.

--- a/src/facts/place.cpp
+++ b/src/facts/place.cpp
@@ -11,6 +11,8 @@
 namespace rainhook {
 namespace {
 
+constexpr const char* untilRestart[] = {"name", "listen", "limits", "settings"};
+
 // Numeric, since there is no name service where it runs.
 std::string address(const Pairs& given, const std::string& path, bool needed) {
   std::string value(needed ? given.present(path) : given.text(path));
@@ -59,7 +61,7 @@
   if (settings == json.end() || !settings->is_object())
     throw FactsError("configuration: settings is missing");
   out.facts = readFacts(pairsOfJson(*settings));
-  for (const char* name : {"name", "listen", "limits", "settings"})
+  for (const char* name : untilRestart)
     if (const auto it = json.find(name); it != json.end()) out.fixed[name] = it->dump();
   const auto& names = out.facts.handlerNames;
   if (names.empty()) throw FactsError("settings: classes is missing or holds none");
@@ -73,10 +75,12 @@
 
 std::vector<std::string> leftByReload(const Configured& running, const Configured& offered) {
   std::vector<std::string> out;
-  for (const char* name : {"name", "listen", "limits", "settings"}) {
-    const auto now = running.fixed.find(name), then = offered.fixed.find(name);
-    const bool has = now != running.fixed.end(), had = then != offered.fixed.end();
-    if (has != had || (has && now->second != then->second)) out.emplace_back(name);
+  for (const char* name : untilRestart) {
+    const auto text = [name](const Configured& configured) {
+      const auto it = configured.fixed.find(name);
+      return it == configured.fixed.end() ? std::string() : it->second;
+    };
+    if (text(running) != text(offered)) out.emplace_back(name);
   }
   return out;
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -125,8 +125,7 @@
     return fine;
   }
   try {
-    const auto file = given["config"].as<std::string>();
-    return command == "check" ? check(given) : serve(file);
+    return command == "check" ? check(given) : serve(given["config"].as<std::string>());
   } catch (const FactsError& error) {
     fmt::print(stderr, "rainhook: {}\n", error.what());
     return misused;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -138,7 +138,7 @@
 
 std::size_t Clients::came(ClientId id, std::string_view bytes) {
   Client& client = clients_.at(id);
-  // A caller that does not read its answers, or sends far more than it may, is not read until it does.
+  // A caller that does not read its answers is not read until it does.
   if (full(client)) {
     client.connection->pause();
     return 0;
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -65,6 +65,7 @@
   void shed(Ticket ticket, Span stayAway, bool lastTry);
   void errored(Ticket ticket, std::string_view why);
   void sayHealth(bool good) { good_ = good; }
+  bool good() const { return good_; }
   void saySignal(double value) { signal_ = value; }
   void closeIdleAfter(Span idle) { idleAfter_ = idle; }
   // No new connection is taken, and every caller is asked to leave once it has its answers.
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -70,7 +70,7 @@
   const auto list = addressOf(place.list);
   if (list && list_) return list_->moveTo(*list);
   list_ = list ? std::make_unique<net::List>(reactor_, pool_, log_, *list, place.name) : nullptr;
-  if (list_) list_->takesWork(good_);
+  if (list_) list_->takesWork(clients_.good());
 }
 
 void Server::reloadFrom(const std::string& file) {
@@ -312,7 +312,6 @@
   table_.waitFor(*req->repeats, action.id);
 }
 void Server::perform(const SayHealth& action) {
-  good_ = action.good;
   clients_.sayHealth(action.good);
   if (list_) list_->takesWork(action.good);
 }
@@ -358,16 +357,15 @@
   const auto counts = std::exchange(counts_, {});
   if (counts.read + counts.shed + counts.errored == 0) return;
   const auto now = standing();
-  log_.line(
-      net::Matter::start,
-      "in {} s: read {} (unread for {} ms), done {}, shed {}, errored {}, callers gone {}; calls {}, done "
-      "{}; "
-      "now held {}, on cores {} (the engine counts {:.0f}), at calls {}, owed to nobody {}; connections {}",
-      std::chrono::duration_cast<std::chrono::seconds>(reportEvery).count(), counts.read,
-      std::chrono::duration_cast<std::chrono::milliseconds>(counts.unread).count() /
-          static_cast<std::int64_t>(std::max<std::uint64_t>(counts.read, 1)),
-      counts.done, counts.shed, counts.errored, counts.left, counts.calls, counts.callsDone, now.held,
-      now.onCores, wantingCore_.value_or(-1), now.atCalls, now.unowed, clients_.open());
+  log_.line(net::Matter::start,
+            "in {} s: read {} (unread for {} ms), done {}, shed {}, errored {}, callers gone {}; "
+            "calls {}, done {}; now held {}, on cores {} (the engine counts {:.0f}), at calls {}, owed to "
+            "nobody {}; connections {}",
+            std::chrono::duration_cast<std::chrono::seconds>(reportEvery).count(), counts.read,
+            std::chrono::duration_cast<std::chrono::milliseconds>(counts.unread).count() /
+                static_cast<std::int64_t>(std::max<std::uint64_t>(counts.read, 1)),
+            counts.done, counts.shed, counts.errored, counts.left, counts.calls, counts.callsDone, now.held,
+            now.onCores, wantingCore_.value_or(-1), now.atCalls, now.unowed, clients_.open());
 }
 
 Server::Standing Server::standing() const {
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -116,8 +116,8 @@
   } counts_;
   net::Reactor::Timer again_, reporting_, leaving_;
   std::optional<Moment> stopAt_;
-  std::optional<double> wantingCore_;                 // as the engine said last
-  bool good_ = true, fresh_ = false, waved_ = false;  // fresh: the module has not been asked yet
+  std::optional<double> wantingCore_;   // as the engine said last
+  bool fresh_ = false, waved_ = false;  // fresh: the module has not been asked yet
 };
 
 }  // namespace rainhook::server
