--- /dev/null
+++ b/src/options/options.h
@@ -0,0 +1,35 @@
+// Our own settings: deploy/rainhook.yaml, named by --options or RAINHOOK_OPTIONS. What is absent is off. The
+// file is checked as a whole before anything of it is used.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "options/section.h"
+#include "store/bounds.h"
+
+namespace rainhook::options {
+
+struct StorePlace {
+  std::string folder;
+  store::StoreBounds bounds;
+
+  bool operator==(const StorePlace&) const = default;
+};
+
+struct Options {
+  std::optional<StorePlace> store;
+
+  bool operator==(const Options&) const = default;
+};
+
+// Both throw OptionsError. `file` is how messages name the text.
+Options readOptions(const std::string& text, const std::string& file);
+// An empty name means that there is none: everything is off.
+Options readOptionsFile(const std::string& file);
+
+// What is switched on, a line each; empty where nothing is.
+std::vector<std::string> switchedOn(const Options& options);
+
+}  // namespace rainhook::options
--- /dev/null
+++ b/src/options/section.h
@@ -0,0 +1,44 @@
+// One mapping of our own settings file (YAML): every key is asked for by name and checked where it is read;
+// what nobody asked for is a fault. Errors: OptionsError, one line with file, line, key and fault.
+#pragma once
+
+#include <yaml-cpp/yaml.h>
+
+#include <cstdint>
+#include <set>
+#include <stdexcept>
+#include <string>
+
+namespace rainhook::options {
+
+struct OptionsError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+class Section {
+ public:
+  // `path` is how messages name it, empty for the whole file.
+  Section(YAML::Node node, std::string file, std::string path);
+
+  bool has(const std::string& key);
+  Section section(const std::string& key);
+  std::string text(const std::string& key);  // must be there and not empty
+  std::string text(const std::string& key, const std::string& absent);
+  bool yes(const std::string& key, bool absent);
+  std::uint64_t count(const std::string& key, std::uint64_t absent, std::uint64_t least, std::uint64_t most);
+  // A count of bytes: digits, then nothing or one of kB, MB, GB (powers of 1024).
+  std::uint64_t bytes(const std::string& key, std::uint64_t absent, std::uint64_t least, std::uint64_t most);
+  // Every key that was not asked for is a fault.
+  void end() const;
+  [[noreturn]] void fault(const std::string& key, const std::string& what) const;
+
+ private:
+  YAML::Node plain(const std::string& key);  // the scalar there, or an undefined node
+  std::string named(const std::string& key) const { return path_.empty() ? key : path_ + "." + key; }
+
+  YAML::Node node_;
+  std::string file_, path_;
+  std::set<std::string> asked_;  // as many as the reader has words
+};
+
+}  // namespace rainhook::options
