--- a/src/commands/commands.h
+++ b/src/commands/commands.h
@@ -8,7 +8,7 @@
 
 namespace rainhook::commands {
 
-enum Status { fine = 0, cannotServe = 1, absent = 1, misused = 2, damaged = 3 };
+enum Status { fine = 0, cannotServe = 1, absent = 1, misused = 2, damaged = 3, faulty = 4 };
 
 using Words = std::vector<std::string>;
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -34,6 +34,7 @@
 
   serve    serve until told to leave (SIGTERM or SIGINT)
   check    say what a configuration and our own settings hold, or what is wrong with them
+  store    look into a store, check it, change it
   version  say which version this is
   help     this page, or with a command's name that command's options
 )";
@@ -42,12 +43,13 @@
   const std::string command = words.empty() ? "" : words.front();
   const Words rest(words.empty() ? words.end() : words.begin() + 1, words.end());
   if (command == "help" || command == "--help" || command == "-h") {
-    if (rest.empty() || (rest.front() != "serve" && rest.front() != "check"))
+    if (rest.empty() || (rest.front() != "serve" && rest.front() != "check" && rest.front() != "store"))
       return fmt::print("{}", usage), fine;
     return run({rest.front(), "--help"});
   }
   if (command == "serve") return serve(rest);
   if (command == "check") return check(rest);
+  if (command == "store") return store(rest);
   if (command != "version")
     throw Misuse(command.empty() ? "no command is given" : "unknown command '" + command + "'");
   fmt::print("rainhook {}\n", RAINHOOK_VERSION);
--- /dev/null
+++ b/src/store/format.cpp
@@ -0,0 +1,223 @@
+#include "store/format.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+#include <zstd.h>
+
+#include <charconv>
+#include <cstring>
+
+namespace rainhook::store {
+namespace {
+
+constexpr std::string_view fileMagic = "RAINHOOK", recordMagic = "\xd7RHr";
+
+// Little endian whatever the machine.
+template <typename T>
+void put(std::string& out, T value) {
+  for (std::size_t i = 0; i < sizeof value; ++i)
+    out.push_back(static_cast<char>(static_cast<std::uint64_t>(value) >> (8 * i) & 0xff));
+}
+template <typename T>
+T get(std::string_view bytes, std::size_t at) {
+  std::uint64_t value = 0;
+  for (std::size_t i = 0; i < sizeof(T); ++i)
+    value |= static_cast<std::uint64_t>(static_cast<unsigned char>(bytes[at + i])) << (8 * i);
+  return static_cast<T>(value);
+}
+
+std::uint64_t seedOf(const Spot& spot) {
+  std::string words;
+  put(words, raw(spot.file.store));
+  put(words, static_cast<std::uint16_t>(spot.file.kind));
+  put(words, raw(spot.file.number));
+  put(words, spot.offset);
+  return XXH3_64bits(words.data(), words.size());
+}
+
+std::uint64_t checkOf(std::string_view bytes, std::uint64_t seed) {
+  return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
+}
+
+constexpr std::size_t checkedFrom = 12;  // behind magic and checksum
+
+}  // namespace
+
+std::string encodeHead(const FileHead& head) {
+  std::string out(fileMagic);
+  put(out, head.version);
+  put(out, static_cast<std::uint16_t>(head.kind));
+  put(out, std::uint32_t{0});
+  put(out, raw(head.store));
+  put(out, raw(head.number));
+  put(out, checkOf(out, 0));
+  return out;
+}
+
+HeadRead decodeHead(std::string_view bytes) {
+  if (bytes.size() < headBytes) return {{}, HeadFault::cut};
+  const auto checked = bytes.substr(0, headBytes - 8);
+  if (!bytes.starts_with(fileMagic) || get<std::uint64_t>(bytes, headBytes - 8) != checkOf(checked, 0))
+    return {{}, HeadFault::damaged};
+  FileHead head;
+  head.version = get<std::uint16_t>(bytes, 8);
+  head.kind = static_cast<FileKind>(get<std::uint16_t>(bytes, 10));
+  head.store = StoreId{get<std::uint64_t>(bytes, 16)};
+  head.number = SegmentNumber{get<std::uint64_t>(bytes, 24)};
+  return {head, head.version > formatVersion ? HeadFault::newer : HeadFault::none};
+}
+
+void append(std::string& out, const Record& record, const Spot& spot) {
+  const std::size_t begin = out.size();
+  out += recordMagic;
+  put(out, std::uint64_t{0});  // the checksum, below
+  put(out, static_cast<std::uint32_t>(recordBytes(record.key.size(), record.value.size())));
+  put(out, raw(record.sequence));
+  put(out, static_cast<std::int64_t>(record.goodUntil.time_since_epoch().count()));
+  put(out, static_cast<std::uint32_t>(record.key.size()));
+  put(out, static_cast<std::uint32_t>(record.value.size()));
+  put(out, static_cast<std::uint8_t>(record.kind));
+  put(out, static_cast<std::uint8_t>(record.packed));
+  put(out, std::uint16_t{0});
+  put(out, std::uint32_t{0});
+  out += record.key;
+  out += record.value;
+  std::string check;
+  put(check, checkOf(std::string_view(out).substr(begin + checkedFrom), seedOf(spot)));
+  out.replace(begin + recordMagic.size(), check.size(), check);
+}
+
+RecordRead readRecord(std::string_view bytes, const Spot& spot) {
+  using enum RecordRead::Found;
+  if (!bytes.starts_with(recordMagic.substr(0, bytes.size()))) return {};
+  if (bytes.size() < recordHeadBytes) return {needsMore, {}, recordHeadBytes};
+  const std::size_t length = get<std::uint32_t>(bytes, 12);
+  const std::size_t key = get<std::uint32_t>(bytes, 32), value = get<std::uint32_t>(bytes, 36);
+  if (length != recordBytes(key, value)) return {};
+  if (bytes.size() < length) return {needsMore, {}, length};
+  if (get<std::uint64_t>(bytes, 4) != checkOf(bytes.substr(checkedFrom, length - checkedFrom), seedOf(spot)))
+    return {};
+  RecordRead out{whole, {}, length};
+  out.record.sequence = Sequence{get<std::uint64_t>(bytes, 16)};
+  out.record.goodUntil = UnixTime(std::chrono::milliseconds(get<std::int64_t>(bytes, 24)));
+  out.record.kind = static_cast<Kind>(get<std::uint8_t>(bytes, 40));
+  out.record.packed = get<std::uint8_t>(bytes, 41) != 0;
+  out.record.key = bytes.substr(recordHeadBytes, key);
+  out.record.value = bytes.substr(recordHeadBytes + key, value);
+  return out;
+}
+
+std::size_t nextCandidate(std::string_view bytes, std::size_t from) {
+  const auto at = bytes.find(recordMagic, from);
+  if (at != std::string_view::npos) return at;
+  // One whose magic is cut off by the end of what was read.
+  for (std::size_t left = recordMagic.size() - 1; left > 0; --left)
+    if (bytes.size() >= from + left && bytes.ends_with(recordMagic.substr(0, left)))
+      return bytes.size() - left;
+  return std::string_view::npos;
+}
+
+std::string encodePlace(const HintPlace& place) {
+  std::string out;
+  put(out, place.offset);
+  put(out, place.bytes);
+  return out;
+}
+
+std::optional<HintPlace> decodePlace(std::string_view value) {
+  if (value.size() != hintPlaceBytes) return std::nullopt;
+  return HintPlace{get<std::uint64_t>(value, 0), get<std::uint64_t>(value, 8)};
+}
+
+namespace {
+constexpr std::size_t manifestFixed = 40, sweepBytes = 16, listedBytes = 25;
+Spot manifestSpot(StoreId store) { return {{FileKind::manifest, store, SegmentNumber{0}}, headBytes}; }
+}  // namespace
+
+std::string encodeManifest(const Manifest& manifest) {
+  std::string value;
+  put(value, raw(manifest.nextNumber));
+  put(value, raw(manifest.nextSequence));
+  put(value, raw(manifest.floor));
+  put(value, std::uint64_t{manifest.sweeps.size()});
+  put(value, std::uint64_t{manifest.segments.size()});
+  for (const Sweep& sweep : manifest.sweeps) {
+    put(value, raw(sweep.before));
+    put(value, static_cast<std::int64_t>(sweep.until.time_since_epoch().count()));
+  }
+  for (const auto& segment : manifest.segments) {
+    put(value, raw(segment.number));
+    put(value, segment.bytes);
+    put(value, raw(segment.last));
+    put(value, static_cast<std::uint8_t>(segment.sealed));
+  }
+  const Spot spot = manifestSpot(manifest.store);
+  auto out = encodeHead(spot.file);
+  append(out, {Kind::manifest, false, Sequence{0}, forever, {}, value}, spot);
+  return out;
+}
+
+ManifestRead decodeManifest(std::string_view bytes) {
+  const auto head = decodeHead(bytes);
+  if (head.fault != HeadFault::none) return {std::nullopt, head.fault};
+  const ManifestRead wrong{std::nullopt, HeadFault::damaged};
+  if (head.head.kind != FileKind::manifest) return wrong;
+  const auto read = readRecord(bytes.substr(headBytes), manifestSpot(head.head.store));
+  const auto value = read.record.value;
+  if (read.found != RecordRead::Found::whole || read.record.kind != Kind::manifest ||
+      value.size() < manifestFixed)
+    return wrong;
+  Manifest out;
+  out.store = head.head.store;
+  out.nextNumber = SegmentNumber{get<std::uint64_t>(value, 0)};
+  out.nextSequence = Sequence{get<std::uint64_t>(value, 8)};
+  out.floor = Sequence{get<std::uint64_t>(value, 16)};
+  const auto sweeps = get<std::uint64_t>(value, 24), segments = get<std::uint64_t>(value, 32);
+  if (sweeps > value.size() || segments > value.size() ||
+      value.size() != manifestFixed + sweeps * sweepBytes + segments * listedBytes)
+    return wrong;
+  std::size_t at = manifestFixed;
+  for (std::uint64_t i = 0; i < sweeps; ++i, at += sweepBytes)
+    out.sweeps.push_back({Sequence{get<std::uint64_t>(value, at)},
+                          UnixTime(std::chrono::milliseconds(get<std::int64_t>(value, at + 8)))});
+  for (std::uint64_t i = 0; i < segments; ++i, at += listedBytes)
+    out.segments.push_back({SegmentNumber{get<std::uint64_t>(value, at)},
+                            get<std::uint8_t>(value, at + 24) != 0, get<std::uint64_t>(value, at + 8),
+                            Sequence{get<std::uint64_t>(value, at + 16)}});
+  return {out, HeadFault::none};
+}
+
+std::string segmentName(SegmentNumber number) { return fmt::format("{:010}.seg", raw(number)); }
+std::string hintName(SegmentNumber number) { return fmt::format("{:010}.hint", raw(number)); }
+std::string hintTemporary(SegmentNumber number) { return hintName(number) + ".tmp"; }
+
+std::optional<Named> readName(std::string_view name) {
+  std::uint64_t number = 0;
+  const auto [end, error] = std::from_chars(name.data(), name.data() + name.size(), number);
+  if (error != std::errc{} || end - name.data() < 10) return std::nullopt;
+  const auto rest = name.substr(static_cast<std::size_t>(end - name.data()));
+  if (rest == ".seg") return Named{FileKind::segment, SegmentNumber{number}, false};
+  if (rest == ".hint") return Named{FileKind::hint, SegmentNumber{number}, false};
+  if (rest == ".hint.tmp") return Named{FileKind::hint, SegmentNumber{number}, true};
+  return std::nullopt;
+}
+
+std::optional<std::string> pack(std::string_view plain) {
+  std::string out(ZSTD_compressBound(plain.size()), '\0');
+  const auto size = ZSTD_compress(out.data(), out.size(), plain.data(), plain.size(), 1);
+  if (ZSTD_isError(size) || size >= plain.size()) return std::nullopt;
+  out.resize(size);
+  return out;
+}
+
+std::optional<std::string> unpack(std::string_view packed, std::size_t longest) {
+  const auto size = ZSTD_getFrameContentSize(packed.data(), packed.size());
+  if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN || size > longest)
+    return std::nullopt;
+  std::string out(static_cast<std::size_t>(size), '\0');
+  const auto got = ZSTD_decompress(out.data(), out.size(), packed.data(), packed.size());
+  if (ZSTD_isError(got) || got != out.size()) return std::nullopt;
+  return out;
+}
+
+}  // namespace rainhook::store
--- /dev/null
+++ b/src/store/plan.h
@@ -0,0 +1,68 @@
+// What decides in the store: when a segment is full, what is compacted next, what ages out, how much a step
+// may do. Pure: facts in, a choice out; no clock, no I/O.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "store/bounds.h"
+#include "store/ids.h"
+
+namespace rainhook::store {
+
+struct SegmentFacts {
+  SegmentNumber number{};
+  std::uint64_t bytes = 0;   // with its hint file
+  std::uint64_t living = 0;  // what a compaction would have to copy
+  bool sealed = false;
+  bool distrusted = false;  // a sync of it failed: what it holds has to be written anew
+  bool damaged = false;
+};
+
+struct FolderFacts {
+  std::uint64_t bytes = 0;  // of all files, whoever they belong to
+  std::uint64_t indexBytes = 0;
+  std::vector<SegmentFacts> segments;
+};
+
+class Plan {
+ public:
+  explicit Plan(const StoreBounds& bounds) : bounds_(bounds) {}
+
+  // Kept free of new writes, so that a compaction can always copy one whole segment and replace the manifest.
+  std::uint64_t reserve() const { return bounds_.segmentBytes + bounds_.segmentBytes / 4 + manifestRoom(); }
+  bool mayWrite(std::uint64_t folder, std::uint64_t cost) const {
+    return folder + cost + reserve() <= bounds_.diskBytes;
+  }
+  bool mayCopy(std::uint64_t folder, std::uint64_t cost) const {
+    return folder + cost + manifestRoom() / 2 <= bounds_.diskBytes;
+  }
+  bool isFull(std::uint64_t segmentWeight, std::uint64_t cost) const {
+    return segmentWeight + cost > bounds_.segmentBytes;
+  }
+  // The segment to compact next: one that is distrusted, then one that holds nothing living, then a damaged
+  // one, then the one with the most dead where that is worth it. How much is worth it falls as room gets
+  // short.
+  std::optional<SegmentNumber> next(const FolderFacts& facts) const;
+  // How many bytes of the living (disk and index counted apart) are over what may live; the oldest are to age
+  // out.
+  struct Excess {
+    std::uint64_t disk = 0, index = 0;
+    bool any() const { return disk + index > 0; }
+  };
+  Excess excess(const FolderFacts& facts) const;
+  // What a step of compaction may read: less while writers wait.
+  std::uint64_t step(std::uint64_t queuedBytes) const {
+    return queuedBytes > 0 ? bounds_.stepBytes / 4 : bounds_.stepBytes;
+  }
+
+ private:
+  // Two manifests stand in the folder while one replaces the other.
+  std::uint64_t manifestRoom() const { return 4096 + 128 * (bounds_.diskBytes / bounds_.segmentBytes); }
+  std::uint64_t usable() const { return bounds_.diskBytes - reserve(); }
+
+  StoreBounds bounds_;
+};
+
+}  // namespace rainhook::store
--- /dev/null
+++ b/src/store/recovery.h
@@ -0,0 +1,63 @@
+// What a start finds in the folder; private to the Book, which lives on with what this leaves.
+#pragma once
+
+#include <set>
+
+#include "store/book.h"
+
+namespace rainhook::store {
+
+class Book::Recovery {
+ public:
+  Recovery(Book& book, UnixTime now) : book_(book), now_(now) {}
+  Outcome run(std::uint64_t seed);
+
+ private:
+  struct Found {
+    bool segment = false, hint = false;
+    std::uint64_t segmentBytes = 0, hintBytes = 0;
+  };
+  struct Hint {
+    struct Row {
+      Kind kind{};
+      std::string key;
+      Sequence sequence{};
+      UnixTime goodUntil = forever;
+      HintPlace place;
+    };
+    std::vector<Row> rows;
+    std::optional<HintPlace> end;  // where the file ends as it should and nothing of it is damaged
+  };
+  struct Lost {
+    SegmentNumber segment;
+    std::string key;
+    Sequence sequence;
+  };
+
+  Outcome list();
+  void readManifest();
+  void chooseId(std::uint64_t seed);
+  void sortOut();
+  Outcome recover(SegmentNumber number, const Found& found);
+  Hint readHint(SegmentNumber number);
+  bool takeHint(SegmentNumber number, const Hint& hint, std::uint64_t bytes);
+  void scan(SegmentNumber number, std::shared_ptr<File> file, const Hint& hint);
+  void writeHint(SegmentNumber number, const std::vector<Hint::Row>& rows, std::uint64_t end);
+  void see(const Hint::Row& row, SegmentNumber number);
+  void suppressLost();
+  void sweep();
+  void setAside(const std::string& name, const char* why);
+  const Manifest::Listed* listed(SegmentNumber number) const;
+
+  Book& book_;
+  UnixTime now_;
+  std::set<std::string> names_;
+  std::map<SegmentNumber, Found> found_;
+  std::optional<Manifest> manifest_;
+  std::vector<Lost> lost_;
+  Sequence highest_{};
+  bool doubt_ = false;
+  Sequence doubtBelow_{};
+};
+
+}  // namespace rainhook::store
