The store under damage: every byte cut and flipped, any segments lost, strangers

Files are cut, flipped and lost by other causes than crashes. A key may then be missing where its latest record is hit, but nothing older is served, and verify and the counts tell of it. A closed store gives its lock back.

--- a/src/commands/store.cpp
+++ b/src/commands/store.cpp
@@ -202,13 +202,11 @@
   const auto figures = session.store().figures();
   const auto& s = figures.book;
   const std::pair<const char*, std::uint64_t> all[] = {
-      {"entries", s.entries},          {"gone_remembered", s.gone},
-      {"index_bytes", s.indexBytes},   {"folder_bytes", s.folderBytes},
-      {"folder_most", s.folderMost},   {"living_bytes", s.livingBytes},
-      {"aside_files", s.asideFiles},   {"expired", s.expired},
-      {"aged_out", s.agedOut},         {"lost_records", s.lostRecords},
-      {"lost_bytes", s.lostBytes},     {"torn_bytes", s.tornBytes},
-      {"doubted", s.doubted},          {"hints_rebuilt", s.hintsRebuilt},
+      {"entries", s.entries},          {"gone_remembered", s.gone},     {"index_bytes", s.indexBytes},
+      {"folder_bytes", s.folderBytes}, {"folder_most", s.folderMost},   {"living_bytes", s.livingBytes},
+      {"aside_files", s.asideFiles},   {"expired", s.expired},          {"aged_out", s.agedOut},
+      {"lost_files", s.lostFiles},     {"lost_records", s.lostRecords}, {"lost_bytes", s.lostBytes},
+      {"torn_bytes", s.tornBytes},     {"doubted", s.doubted},          {"hints_rebuilt", s.hintsRebuilt},
       {"failed_syncs", s.failedSyncs},
   };
   for (const auto& [name, value] : all) fmt::print("{}={}\n", name, value);
--- a/src/store/book.cpp
+++ b/src/store/book.cpp
@@ -363,6 +363,7 @@
   if (output_) seal(output_, false);
   if (active_) seal(active_, false);
   writeManifest();
+  disk_.unlock();
   opened_ = false;
 }
 
--- a/src/store/book.h
+++ b/src/store/book.h
@@ -77,7 +77,8 @@
   std::uint64_t puts = 0, erases = 0, commits = 0, syncs = 0, refused = 0, failed = 0, expired = 0,
                 agedOut = 0;
   std::uint64_t putBytes = 0, compactedBytes = 0, compactions = 0;
-  std::uint64_t lostRecords = 0, lostBytes = 0, tornBytes = 0, doubted = 0, hintsRebuilt = 0, failedSyncs = 0;
+  std::uint64_t lostFiles = 0, lostRecords = 0, lostBytes = 0, tornBytes = 0, doubted = 0, hintsRebuilt = 0,
+                failedSyncs = 0;
 };
 
 class Book {
--- a/src/store/disk.h
+++ b/src/store/disk.h
@@ -58,7 +58,8 @@
   virtual Fault rename(const std::string& from, const std::string& to) = 0;
   virtual Fault remove(const std::string& name) = 0;
   virtual Fault syncFolder() = 0;                    // names made, changed and removed before are on the disk
-  virtual Locked lock(const std::string& name) = 0;  // until the Disk goes, or its process
+  virtual Locked lock(const std::string& name) = 0;  // until unlocked, or the Disk goes, or its process
+  virtual void unlock() = 0;
 };
 
 // Goes on after short transfers; a transfer that moves nothing is EIO.
--- a/src/store/posix_disk.cpp
+++ b/src/store/posix_disk.cpp
@@ -86,7 +86,7 @@
 }
 
 PosixDisk::~PosixDisk() {
-  if (lock_ >= 0) ::close(lock_);
+  unlock();
   if (directory_ >= 0) ::close(directory_);
 }
 
@@ -119,6 +119,10 @@
 Fault PosixDisk::remove(const std::string& name) { return faultOf(::unlinkat(directory_, name.c_str(), 0)); }
 Fault PosixDisk::syncFolder() { return directory_ < 0 ? made_ : faultOf(::fsync(directory_)); }
 
+void PosixDisk::unlock() {
+  if (lock_ >= 0) ::close(std::exchange(lock_, -1));
+}
+
 Disk::Locked PosixDisk::lock(const std::string& name) {
   if (directory_ < 0) return {made_, {}};
   lock_ = ::openat(directory_, name.c_str(), O_RDWR | O_CREAT | O_CLOEXEC | O_NOFOLLOW, 0600);
--- a/src/store/posix_disk.h
+++ b/src/store/posix_disk.h
@@ -23,6 +23,7 @@
   Fault remove(const std::string& name) override;
   Fault syncFolder() override;
   Locked lock(const std::string& name) override;
+  void unlock() override;
 
  private:
   Opened openAt(const std::string& name, int flags);
--- a/src/store/recovery.cpp
+++ b/src/store/recovery.cpp
@@ -42,9 +42,7 @@
     book_.index_.raiseFloor(manifest_->floor);
     for (const auto& segment : manifest_->segments)
       if (!found_.contains(segment.number)) {
-        doubt_ = true;
-        doubtBelow_ =
-            segment.sealed ? std::max(doubtBelow_, after(segment.last)) : Sequence{~std::uint64_t{0}};
+        doubt(segment);
         book_.say(fmt::format("{} and its hint are gone: what is older is not served",
                               segmentName(segment.number)));
       }
@@ -67,6 +65,8 @@
 
 // Nobody can say what of the older records this one had erased or written over.
 void Book::Recovery::doubt(const Manifest::Listed& gone) {
+  ++book_.stats_.lostFiles;
+  book_.stats_.lostBytes += gone.bytes;
   doubt_ = true;
   doubtBelow_ = gone.sealed ? std::max(doubtBelow_, after(gone.last)) : Sequence{~std::uint64_t{0}};
 }
--- a/tests/store_crash_test.cpp
+++ b/tests/store_crash_test.cpp
@@ -184,7 +184,8 @@
                     .ok());
     for (int i = 0; i < 2000 && !ended; ++i) {
       history.book().tidy(history.now);
-      if (i % 3 == 0) history.put({{false, "key" + std::to_string(i % 12), "while copying", forever}});
+      if (i % 3 == 0)
+        history.put({{false, named("key", static_cast<std::uint64_t>(i % 12)), "while copying", forever}});
     }
     ASSERT_TRUE(ended);
     ASSERT_EQ(history.ledger.wrongs(history.book(), history.now), "");
--- /dev/null
+++ b/tests/store_damage_test.cpp
@@ -0,0 +1,258 @@
+// Damage to a store that lies still: files cut at every byte, bytes flipped, segments gone, strangers in the
+// folder. A key may be missing where its latest record is hit; nothing older and nothing wrong is ever
+// served.
+#include <gtest/gtest.h>
+
+#include <functional>
+
+#include "store/scanner.h"
+#include "store_world.h"
+
+namespace rainhook::store {
+namespace {
+
+struct Recorded {
+  std::map<std::string, std::string> image;
+  Ledger ledger;
+  UnixTime now;
+  // Where the latest record of a living key stands; several after a compaction that was cut short.
+  struct At {
+    std::string file;
+    std::uint64_t offset, bytes;
+  };
+  std::map<std::string, std::vector<At>> latest;
+};
+
+Recorded record(std::uint64_t seed, int steps, bool closed) {
+  Platter platter;
+  History history(platter, seed);
+  EXPECT_TRUE(history.open());
+  history.play(steps);
+  if (closed) history.book().close();
+  history.ledger.passed(history.now);
+  Recorded out{platter.image(), history.ledger, history.now, {}};
+  const auto manifest = decodeManifest(out.image.at(manifestName)).manifest;
+  std::map<std::string, Sequence> highest;
+  Platter copy = Platter::of(out.image);
+  ForgettingDisk disk(copy);
+  for (const auto& listed : manifest->segments) {
+    const auto name = segmentName(listed.number);
+    Scanner scanner(disk.open(name).file, {FileKind::segment, manifest->store, listed.number});
+    for (auto step = scanner.next(); step.what != Scanner::Step::What::end; step = scanner.next()) {
+      EXPECT_EQ(step.what, Scanner::Step::What::record);
+      const std::string key(step.record.key);
+      if (step.record.sequence > highest[key]) out.latest[key].clear();
+      if (step.record.sequence < highest[key]) continue;
+      highest[key] = step.record.sequence;
+      out.latest[key].push_back({name, step.offset, step.bytes});
+    }
+  }
+  return out;
+}
+
+// The keys whose every latest record is hit.
+std::set<std::string> hit(const Recorded& recorded, const std::function<bool(const Recorded::At&)>& hits) {
+  std::set<std::string> out;
+  for (const auto& [key, all] : recorded.latest)
+    if (std::all_of(all.begin(), all.end(), hits)) out.insert(key);
+  return out;
+}
+
+struct Seen {
+  std::uint64_t missing = 0;  // keys that should be there, and may be missing
+  bool told = false;
+};
+
+// Starts on it, looks, compacts everything, starts again.
+Seen judge(std::map<std::string, std::string> image, const Recorded& recorded,
+           const std::set<std::string>& mayMiss, const std::string& where) {
+  Platter platter = Platter::of(image);
+  Verified verified;
+  {
+    ForgettingDisk disk(platter);
+    verify(disk, verified);
+  }
+  History history(platter, 1);
+  history.now = recorded.now, history.ledger = recorded.ledger;
+  EXPECT_TRUE(history.open()) << where;
+  EXPECT_EQ(history.ledger.wrongs(history.book(), history.now, mayMiss), "") << where;
+  Seen out;
+  for (const auto& [key, states] : history.ledger.keys())
+    out.missing += states.front().value && !history.book().get(key, history.now).value;
+  out.told = history.book().stats().lostRecords > 0 || history.book().stats().lostBytes > 0 ||
+             history.book().stats().lostFiles > 0;
+  if (out.missing > 0) {
+    EXPECT_FALSE(verified.damage.empty()) << where << ": verify saw nothing";
+    EXPECT_TRUE(out.told) << where << ": a key is missing and nothing was told";
+  }
+  history.book().compactAll(history.now);
+  EXPECT_EQ(history.ledger.wrongs(history.book(), history.now, mayMiss), "") << where << " after compaction";
+  EXPECT_TRUE(history.open()) << where;
+  EXPECT_EQ(history.ledger.wrongs(history.book(), history.now, mayMiss), "")
+      << where << " after another start";
+  return out;
+}
+
+class StoreDamage : public testing::TestWithParam<bool> {};
+INSTANTIATE_TEST_SUITE_P(ClosedOrKilled, StoreDamage, testing::Bool());
+
+TEST_P(StoreDamage, EveryFileCutAtEveryByte) {
+  const auto recorded = record(21, 45, GetParam());
+  std::uint64_t missing = 0, cuts = 0;
+  for (const auto& [name, bytes] : recorded.image)
+    for (std::size_t at = 0; at < bytes.size(); ++at, ++cuts) {
+      auto image = recorded.image;
+      image[name].resize(at);
+      const auto mayMiss = hit(recorded, [&, &file = name](const Recorded::At& r) {
+        return r.file == file && r.offset + r.bytes > at;
+      });
+      missing += judge(image, recorded, mayMiss, name + " cut at " + std::to_string(at)).missing;
+      if (HasFailure()) return;
+    }
+  EXPECT_GT(cuts, 3000u);
+  EXPECT_GT(missing, 0u) << "no cut hit anything";
+}
+
+TEST_P(StoreDamage, EveryByteFlipped) {
+  const auto recorded = record(22, 45, GetParam());
+  std::uint64_t missing = 0;
+  for (const auto& [name, bytes] : recorded.image)
+    for (std::size_t at = 0; at < bytes.size(); ++at) {
+      auto image = recorded.image;
+      image[name][at] = static_cast<char>(image[name][at] ^ (1 << (at % 8)));
+      const auto mayMiss = hit(recorded, [&, &file = name](const Recorded::At& r) {
+        return r.file == file && r.offset <= at && at < r.offset + r.bytes;
+      });
+      missing += judge(image, recorded, mayMiss, name + " flipped at " + std::to_string(at)).missing;
+      if (HasFailure()) return;
+    }
+  EXPECT_GT(missing, 0u);
+}
+
+TEST_P(StoreDamage, AnySegmentsLost) {
+  const auto recorded = record(23, 60, GetParam());
+  std::vector<std::string> segments;
+  for (const auto& [name, bytes] : recorded.image)
+    if (name.ends_with(".seg")) segments.push_back(name);
+  ASSERT_GE(segments.size(), 3u);
+  for (std::uint32_t lost = 1; lost < (1u << std::min<std::size_t>(segments.size(), 8)); ++lost)
+    for (const bool hintsToo : {false, true}) {
+      auto image = recorded.image;
+      for (std::size_t i = 0; i < segments.size() && i < 8; ++i) {
+        if ((lost >> i & 1) == 0) continue;
+        image.erase(segments[i]);
+        if (hintsToo) image.erase(segments[i].substr(0, 10) + ".hint");
+      }
+      // Without the hints nobody can say what else was written over: older keys may go too.
+      std::set<std::string> mayMiss;
+      for (const auto& [key, all] : recorded.latest)
+        if (hintsToo || !GetParam() ||
+            std::all_of(all.begin(), all.end(), [&](const auto& r) { return !image.contains(r.file); }))
+          mayMiss.insert(key);
+      judge(image, recorded, mayMiss, "lost " + std::to_string(lost) + (hintsToo ? " with hints" : ""));
+      if (HasFailure()) return;
+    }
+}
+
+TEST(StoreStrangers, AreSetAsideAndNeverDeleted) {
+  const auto recorded = record(24, 40, true);
+  auto image = recorded.image;
+  const auto foreignHead = encodeHead({FileKind::segment, StoreId{1234}, SegmentNumber{900}});
+  const auto newerHead = encodeHead({FileKind::segment, StoreId{77}, SegmentNumber{901}, formatVersion + 1});
+  image["notes.txt"] = "kept";
+  image[segmentName(SegmentNumber{900})] = foreignHead + "whatever";
+  image[segmentName(SegmentNumber{901})] = newerHead + "of the future";
+  image[manifestTemporary] = "half a manifest";
+  Platter platter = Platter::of(image);
+  History history(platter, 1);
+  history.now = recorded.now, history.ledger = recorded.ledger;
+  ASSERT_TRUE(history.open());
+  EXPECT_EQ(history.ledger.wrongs(history.book(), history.now), "");
+  const auto after = platter.image();
+  EXPECT_EQ(after.at("aside-unknown-notes.txt"), "kept");
+  EXPECT_EQ(after.at("aside-foreign-" + segmentName(SegmentNumber{900})), foreignHead + "whatever");
+  EXPECT_EQ(after.at("aside-newer-" + segmentName(SegmentNumber{901})), newerHead + "of the future");
+  EXPECT_FALSE(after.contains(manifestTemporary));
+  EXPECT_EQ(history.book().stats().asideFiles, 3u);
+  ASSERT_TRUE(history.open());
+  EXPECT_EQ(history.book().stats().asideFiles, 3u) << "what is aside already stays as it is";
+}
+
+TEST(StoreStrangers, AManifestOfANewerVersionIsSetAsideAndTheSegmentsServe) {
+  const auto recorded = record(25, 40, true);
+  auto image = recorded.image;
+  auto head = encodeHead({FileKind::manifest, StoreId{77}, SegmentNumber{0}, formatVersion + 1});
+  image[manifestName] = head + "of the future";
+  Platter platter = Platter::of(image);
+  History history(platter, 1);
+  history.now = recorded.now, history.ledger = recorded.ledger;
+  ASSERT_TRUE(history.open());
+  EXPECT_EQ(history.ledger.wrongs(history.book(), history.now), "");
+  EXPECT_TRUE(platter.image().contains("aside-newer-MANIFEST"));
+}
+
+TEST(StoreStrangers, ARecordWithinAValueIsNeverTakenForOne) {
+  Platter platter;
+  History history(platter, 1);
+  ASSERT_TRUE(history.open());
+  history.put({{false, "inner", "old", forever}});
+  const auto name = segmentName(SegmentNumber{1});
+  const auto inner = platter.image().at(name).substr(headBytes);
+  history.put({{false, "inner", "new", forever}});
+  history.put({{false, "outer", inner, forever}});
+  auto image = platter.image();
+  const auto at = image.at(name).rfind("outer");
+  image[name][at] = 'X';  // the outer record breaks, and the search for the next one runs through its value
+  image[hintName(SegmentNumber{1})].resize(headBytes);
+  Platter found = Platter::of(image);
+  History after(found, 1);
+  ASSERT_TRUE(after.open());
+  EXPECT_EQ(after.book().get("inner", after.now).value, "new");
+  EXPECT_FALSE(after.book().get("outer", after.now).value);
+}
+
+TEST(StoreStrangers, DamageFoundByAReadIsToldOnceAndNothingOlderComesBack) {
+  Platter platter;
+  History history(platter, 1);
+  ASSERT_TRUE(history.open());
+  history.put({{false, "key1", "first", forever}});
+  history.book().close();
+  ASSERT_TRUE(history.open());
+  history.put({{false, "key1", "second", forever}});
+  const auto name = segmentName(SegmentNumber{2});
+  auto& bytes = platter.names.at(name)->now;
+  bytes[bytes.rfind("second")] = 'x';
+  history.log.clear();
+  EXPECT_EQ(history.book().get("key1", history.now).outcome.code, Outcome::Code::damaged);
+  EXPECT_EQ(history.book().get("key1", history.now).outcome.code, Outcome::Code::damaged);
+  EXPECT_EQ(history.log.size(), 1u);
+  EXPECT_EQ(history.book().stats().lostRecords, 1u);
+  history.book().compactAll(history.now);
+  EXPECT_FALSE(history.book().get("key1", history.now).value);
+  ASSERT_TRUE(history.open());
+  EXPECT_FALSE(history.book().get("key1", history.now).value);
+}
+
+TEST(StoreStrangers, WhatExpiredStaysSoWhenTheClockStepsBack) {
+  Platter platter;
+  History history(platter, 1);
+  ASSERT_TRUE(history.open());
+  const auto begin = history.now;
+  history.put(
+      {{false, "key1", "short", begin + std::chrono::milliseconds(50)}, {false, "key2", "long", forever}});
+  history.now = begin + std::chrono::milliseconds(100);
+  EXPECT_FALSE(history.book().get("key1", history.now).value);
+  history.now = begin;
+  EXPECT_FALSE(history.book().get("key1", history.now).value) << "in the same process";
+  history.put({{false, "key3", "carries the sweep", forever}});
+  ASSERT_TRUE(history.open());
+  EXPECT_FALSE(history.book().get("key1", history.now).value) << "after a start";
+  // A clock that was wrong once must not doom what is written later.
+  history.put({{false, "key1", "again", begin + std::chrono::milliseconds(60)}});
+  ASSERT_TRUE(history.open());
+  EXPECT_EQ(history.book().get("key1", history.now).value, "again");
+  EXPECT_EQ(history.book().get("key2", history.now).value, "long");
+}
+
+}  // namespace
+}  // namespace rainhook::store
--- a/tests/store_world.h
+++ b/tests/store_world.h
@@ -20,6 +20,11 @@
 
 namespace rainhook::store {
 
+inline std::string named(const char* before, std::uint64_t number) {
+  std::string out(before);
+  return out += std::to_string(number);
+}
+
 using Chance = pcg32;
 inline std::uint32_t below(Chance& chance, std::uint32_t bound) { return chance(bound); }
 
@@ -173,6 +178,7 @@
     return {};
   }
   Locked lock(const std::string&) override { return {}; }
+  void unlock() override {}
 
  private:
   class Handle final : public File {
@@ -329,7 +335,7 @@
  private:
   Write write() {
     Write out;
-    out.key = "key" + std::to_string(below(chance_, 12));
+    out.key = named("key", below(chance_, 12));
     out.erase = below(chance_, 5) == 0;
     if (out.erase) return out;
     out.value = std::to_string(++written_) + ":" + std::string(below(chance_, 90), 'v');
