Store commands killed at any moment, and a fuzz target with its corpus

A hint entry that points outside its segment no longer makes its reader ask for that much memory; the segment is read instead.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,12 @@
 # build, test, lint and run; `make packages` installs what they need (Debian, as root).
 BUILD_PACKAGES := $(shell sed -n 's/^packages = \[\(.*\)\]$$/\1/p' deploy/balancer.toml | tr -d '",')
 TEST_PACKAGES := g++ cmake make libgtest-dev librapidcheck-dev libpcg-cpp-dev
+FUZZ_SECONDS ?= 60
 LINT_PACKAGES := clang-format clang-tidy
 PACKAGES := $(BUILD_PACKAGES) $(TEST_PACKAGES) $(LINT_PACKAGES)
 SOURCES := $(shell git ls-files 'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h')
 
-.PHONY: build test test-plain test-sanitized lint run packages clean
+.PHONY: build test test-plain test-sanitized fuzz-store lint run packages clean
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release && cmake --build build -j4
@@ -18,6 +19,11 @@
 	cmake -B build-$@ -DCMAKE_BUILD_TYPE=Release -DRAINHOOK_TESTS=ON $(OPTIONS) && cmake --build build-$@ -j4
 	ctest --test-dir build-$@ --output-on-failure --timeout 120
 
+# A search of FUZZ_SECONDS for bytes that harm the store's readers; not in CI, which runs the corpus.
+fuzz-store:
+	cmake -B build-fuzz -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_BUILD_TYPE=Release -DRAINHOOK_FUZZ=ON -DRAINHOOK_SANITIZE=ON && cmake --build build-fuzz -j4 --target rainhook_store_fuzz
+	mkdir -p build-fuzz/found && build-fuzz/rainhook_store_fuzz -max_total_time=$(FUZZ_SECONDS) -max_len=4096 build-fuzz/found tests/fuzz/corpus/store
+
 lint:
 	clang-format --dry-run --Werror $(SOURCES)
 	cmake -B build -DCMAKE_BUILD_TYPE=Release -DCMAKE_EXPORT_COMPILE_COMMANDS=ON
--- a/src/commands/store.cpp
+++ b/src/commands/store.cpp
@@ -4,6 +4,7 @@
 
 #include <Poco/Base64Decoder.h>
 #include <Poco/Base64Encoder.h>
+#include <Poco/Exception.h>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -260,7 +261,12 @@
   if (at == line.end() || !at->is_string()) throw Failed(fmt::format("a line has no text under {}", name));
   std::istringstream in(at->get<std::string>());
   Poco::Base64Decoder decoder(in);
-  const auto out = all(decoder);
+  std::string out;
+  try {
+    out = all(decoder);
+  } catch (const Poco::Exception&) {
+    throw Failed(fmt::format("{} is no base64", name));
+  }
   if (base64(out) != at->get<std::string>()) throw Failed(fmt::format("{} is no base64", name));
   return out;
 }
--- a/src/options/section.cpp
+++ b/src/options/section.cpp
@@ -27,8 +27,8 @@
 
 }  // namespace
 
-Section::Section(YAML::Node node, std::string file, std::string path)
-    : node_(std::move(node)), file_(std::move(file)), path_(std::move(path)) {
+Section::Section(const YAML::Node& node, std::string file, std::string path)
+    : node_(node), file_(std::move(file)), path_(std::move(path)) {
   if (node_.IsNull()) node_ = YAML::Node(YAML::NodeType::Map);
   if (!node_.IsMap())
     throw OptionsError(fmt::format("{}:{}: {}: holds no keys", file_, node_.Mark().line + 1,
@@ -67,7 +67,7 @@
 }
 
 std::string Section::text(const std::string& key) {
-  const auto value = text(key, "");
+  auto value = text(key, "");
   if (value.empty()) fault(key, "is missing");
   return value;
 }
--- a/src/options/section.h
+++ b/src/options/section.h
@@ -18,7 +18,7 @@
 class Section {
  public:
   // `path` is how messages name it, empty for the whole file.
-  Section(YAML::Node node, std::string file, std::string path);
+  Section(const YAML::Node& node, std::string file, std::string path);
 
   bool has(const std::string& key);
   Section section(const std::string& key);
--- a/src/store/book.cpp
+++ b/src/store/book.cpp
@@ -86,7 +86,7 @@
   // A sync that failed says that what was written before may be lost, and a second sync of the same file
   // can't be believed; so these go once more, into a new segment.
   for (int attempt = 0; attempt < 2; ++attempt) {
-    if (auto outcome = ensureActive(); !outcome.ok()) return refuse(outcome);
+    if (auto outcome = ensureActive(); !outcome.ok() || !active_) return refuse(std::move(outcome));
     fault = writePortion(writes, now);
     if (!fault) return {};
     if (active_) break;  // not a sync: the file is as it was before
--- a/src/store/format.cpp
+++ b/src/store/format.cpp
@@ -160,7 +160,7 @@
 ManifestRead decodeManifest(std::string_view bytes) {
   const auto head = decodeHead(bytes);
   if (head.fault != HeadFault::none) return {std::nullopt, head.fault};
-  const ManifestRead wrong{std::nullopt, HeadFault::damaged};
+  ManifestRead wrong{std::nullopt, HeadFault::damaged};
   if (head.head.kind != FileKind::manifest) return wrong;
   const auto read = readRecord(bytes.substr(headBytes), manifestSpot(head.head.store));
   const auto value = read.record.value;
--- a/src/store/recovery.cpp
+++ b/src/store/recovery.cpp
@@ -159,7 +159,8 @@
 // Leaves in found_ what belongs to this store now.
 void Book::Recovery::sortOut() {
   for (auto at = found_.begin(); at != found_.end();) {
-    const auto [number, found] = *at;
+    const SegmentNumber number = at->first;
+    const Found found = at->second;
     Fault fault;
     const auto name = found.segment ? segmentName(number) : hintName(number);
     const auto head = headOf(book_.disk_, name, fault);
@@ -252,6 +253,9 @@
 // A hint that agrees with the length of its segment saves reading the segment.
 bool Book::Recovery::takeHint(SegmentNumber number, const Hint& hint, std::uint64_t bytes) {
   if (!hint.end || hint.end->offset != bytes || hint.end->bytes != hint.rows.size()) return false;
+  for (const auto& row : hint.rows)
+    if (row.kind != Kind::lost && (row.place.bytes > bytes || row.place.offset > bytes - row.place.bytes))
+      return false;
   for (const auto& row : hint.rows) see(row, number);
   return true;
 }
--- /dev/null
+++ b/tests/store_command_test.cpp
@@ -0,0 +1,196 @@
+// The store's commands as a person or a script meets them, in processes of their own that may be killed; and
+// the fuzzer's corpus.
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <set>
+#include <sstream>
+#include <thread>
+
+#include "fuzz/store_fuzz.h"
+#include "store/posix_disk.h"
+#include "store_world.h"
+
+namespace rainhook::store {
+namespace {
+
+class StoreCommands : public testing::Test {
+ protected:
+  StoreCommands() {
+    char name[] = "/tmp/rainhook-commands-XXXXXX";
+    folder_ = ::mkdtemp(name);
+    dir_ = folder_ + "/store";
+  }
+  ~StoreCommands() override { std::filesystem::remove_all(folder_); }
+
+  struct Ran {
+    int status = -1;
+    std::string out, err;
+  };
+  std::string file(const char* name, const std::string& bytes) const {
+    std::ofstream(folder_ + "/" + name, std::ios::binary) << bytes;
+    return folder_ + "/" + name;
+  }
+  static std::string read(const std::string& name) {
+    std::ifstream in(name, std::ios::binary);
+    return {std::istreambuf_iterator<char>(in), {}};
+  }
+  pid_t start(std::vector<std::string> words, const std::string& in, const std::string& out) const {
+    words.insert(words.begin(), {RAINHOOK_PROGRAM, "store"});
+    std::vector<char*> argv;
+    for (auto& word : words) argv.push_back(word.data());
+    argv.push_back(nullptr);
+    const pid_t pid = ::fork();
+    if (pid != 0) return pid;
+    const auto onto = [](const std::string& name, int flags, int descriptor) {
+      ::dup2(::open(name.c_str(), flags, 0600), descriptor);
+    };
+    onto(in, O_RDONLY, 0);
+    onto(out, O_WRONLY | O_CREAT | O_TRUNC, 1);
+    onto(folder_ + "/err", O_WRONLY | O_CREAT | O_TRUNC, 2);
+    ::execv(RAINHOOK_PROGRAM, argv.data());
+    ::_exit(127);
+  }
+  Ran run(const std::vector<std::string>& words, const std::string& in = "") const {
+    const auto out = folder_ + "/out";
+    int status = 0;
+    ::waitpid(start(words, file("in", in), out), &status, 0);
+    return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, read(out), read(folder_ + "/err")};
+  }
+
+  std::string folder_, dir_;
+};
+
+TEST_F(StoreCommands, ValuesGoThroughUnchangedAndAbsentOnesEndWithOne) {
+  const std::string value("a\0b\n\xff\r\n", 7);
+  EXPECT_EQ(run({"put", "k", "--dir", dir_}, value).status, 0);
+  const auto got = run({"get", "k", "--dir", dir_});
+  EXPECT_EQ(got.status, 0);
+  EXPECT_EQ(got.out, value);
+  const auto absent = run({"get", "other", "--dir", dir_});
+  EXPECT_EQ(absent.status, 1);
+  EXPECT_EQ(absent.out, "");
+  EXPECT_EQ(run({"erase", "k", "--dir", dir_}).status, 0);
+  EXPECT_EQ(run({"get", "k", "--dir", dir_}).status, 1);
+  EXPECT_EQ(run({"get", "--dir", dir_}).status, 2);
+  EXPECT_EQ(run({"fetch", "k", "--dir", dir_}).status, 2);
+  EXPECT_EQ(run({"get", "k"}).status, 2);
+  EXPECT_EQ(run({"put", "k", "--dir", dir_, "--for", "0"}).status, 2);
+}
+
+TEST_F(StoreCommands, ADumpLoadsIntoTheSameStore) {
+  std::string lines;
+  for (std::uint64_t i = 0; i < 300; ++i) lines += named("k", i % 200) + "\t" + named("v", i) + "\n";
+  EXPECT_EQ(run({"put", "--lines", "--dir", dir_}, lines).status, 0);
+  const auto listed = run({"list", "--dir", dir_}).out;
+  EXPECT_EQ(std::count(listed.begin(), listed.end(), '\n'), 200);
+  EXPECT_EQ(run({"list", "--by-age", "--dir", dir_}).out.substr(0, 5), "k100\n");
+  const auto dumped = run({"dump", "--dir", dir_}).out;
+  EXPECT_EQ(run({"load", "--dir", folder_ + "/other"}, dumped).status, 0);
+  EXPECT_EQ(run({"dump", "--dir", folder_ + "/other"}).out, dumped);
+  EXPECT_EQ(run({"load", "--dir", folder_ + "/other"}, "{\"key\": \"*\", \"value\": \"\"}\n").status, 4);
+  EXPECT_EQ(run({"snapshot", "--dir", dir_, "--to", folder_ + "/copy"}).status, 0);
+  EXPECT_EQ(run({"dump", "--dir", folder_ + "/copy"}).out, dumped);
+  EXPECT_EQ(run({"snapshot", "--dir", dir_, "--to", folder_ + "/copy"}).status, 4) << "it is not empty";
+  EXPECT_EQ(run({"compact", "--dir", dir_}).status, 0);
+  EXPECT_EQ(run({"dump", "--dir", dir_}).out, dumped);
+}
+
+TEST_F(StoreCommands, VerifyListsDamageAndEndsWithThree) {
+  EXPECT_EQ(run({"put", "--lines", "--dir", dir_}, "a\tone\nb\ttwo\n").status, 0);
+  EXPECT_EQ(run({"verify", "--dir", dir_}).status, 0);
+  const auto segment = dir_ + "/" + segmentName(SegmentNumber{1});
+  auto bytes = read(segment);
+  bytes[bytes.find("one")] = 'X';
+  std::ofstream(segment, std::ios::binary) << bytes;
+  const auto damaged = run({"verify", "--dir", dir_});
+  EXPECT_EQ(damaged.status, 3);
+  EXPECT_NE(damaged.out.find("damage: 0000000001.seg at 40"), std::string::npos) << damaged.out;
+  EXPECT_EQ(run({"get", "a", "--dir", dir_}).status, 4);
+  EXPECT_EQ(run({"get", "b", "--dir", dir_}).out, "two");
+}
+
+TEST_F(StoreCommands, ALockedStoreNamesItsHolder) {
+  PosixDisk disk(dir_);
+  ASSERT_FALSE(disk.lock(lockName).fault);
+  const auto refused = run({"get", "k", "--dir", dir_});
+  EXPECT_EQ(refused.status, 4);
+  EXPECT_NE(refused.err.find(std::to_string(::getpid())), std::string::npos) << refused.err;
+  disk.unlock();
+  EXPECT_EQ(run({"get", "k", "--dir", dir_}).status, 1);
+}
+
+// Killed at any moment: what it had printed as durable is there, with the value of its last printed write or
+// of a later one that was under way.
+TEST_F(StoreCommands, KilledWhileWritingItHoldsWhatItPrinted) {
+  constexpr std::uint64_t keys = 400, lines = 100000;
+  const auto out = folder_ + "/printed";
+  const auto settings =
+      file("bounds.yaml",
+           "store:\n  folder: x\n  disk_bytes: 2 MB\n  segment_bytes: 32 kB\n  longest_value: 2 kB\n");
+  StoreBounds bounds;
+  bounds.diskBytes = 2 << 20, bounds.segmentBytes = 32 << 10, bounds.longestValue = 2 << 10;
+  const auto written = [](std::uint64_t round, std::uint64_t i) { return round * lines + i; };
+  std::map<std::string, std::uint64_t> least;  // the last write of each key that was printed
+  std::uint64_t killed = 0;
+  for (std::uint64_t round = 0; round < 12; ++round) {
+    std::string all;
+    for (std::uint64_t i = 0; i < lines; ++i)
+      all += named("k", i % keys) + "\t" + std::to_string(written(round, i)) + "\n";
+    const pid_t pid =
+        start({"put", "--lines", "--dir", dir_, "--options", settings}, file("lines", all), out);
+    std::this_thread::sleep_for(std::chrono::milliseconds(15 + 17 * round));
+    ::kill(pid, SIGKILL);
+    int status = 0;
+    ::waitpid(pid, &status, 0);
+    killed += WIFSIGNALED(status);
+    std::istringstream printed(read(out));
+    std::map<std::string, std::uint64_t> times;
+    for (std::string key; std::getline(printed, key) && !printed.eof();) ++times[key];
+    for (const auto& [key, count] : times)
+      least[key] = written(round, (count - 1) * keys + std::stoull(key.substr(1)));
+    PosixDisk disk(dir_);
+    Book book(disk, bounds, {});
+    const UnixTime now{std::chrono::milliseconds(1)};
+    ASSERT_TRUE(book.open(now, 1).ok());
+    EXPECT_EQ(book.stats().lostRecords, 0u);
+    for (const auto& [key, number] : least) {
+      const auto got = book.get(key, now);
+      ASSERT_TRUE(got.value) << key << " was printed by round " << round;
+      EXPECT_GE(std::stoull(*got.value), number) << key << ": something older is served";
+      EXPECT_EQ(std::stoull(*got.value) % keys, number % keys) << key << ": the value of another key";
+    }
+    std::uint64_t folder = 0;
+    for (const auto& entry : std::filesystem::directory_iterator(dir_)) folder += entry.file_size();
+    EXPECT_LE(folder, bounds.diskBytes);
+    book.close();
+  }
+  EXPECT_FALSE(least.empty());
+  EXPECT_GT(killed, 8u) << "it was through before it could be killed";
+}
+
+TEST(StoreFuzz, TheCorpusHarmsNothing) {
+  std::set<std::filesystem::path> files;
+  for (const auto& entry : std::filesystem::directory_iterator(RAINHOOK_CORPUS)) files.insert(entry.path());
+  ASSERT_GE(files.size(), 5u);
+  for (const auto& path : files) {
+    std::ifstream in(path, std::ios::binary);
+    const std::string bytes{std::istreambuf_iterator<char>(in), {}};
+    fuzzStore(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
+  }
+}
+
+RC_GTEST_PROP(StoreFuzz, NorDoAnyBytes, (const std::vector<std::uint8_t>& bytes)) {
+  fuzzStore(bytes.data(), bytes.size());
+}
+
+}  // namespace
+}  // namespace rainhook::store
