--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,12 @@
 BUILD_PACKAGES := $(shell sed -n 's/^packages = \[\(.*\)\]$$/\1/p' deploy/balancer.toml | tr -d '",')
 TEST_PACKAGES := g++ cmake make libgtest-dev librapidcheck-dev libpcg-cpp-dev
 FUZZ_SECONDS ?= 60
+MEASURE_IN ?= build-measure/store
 LINT_PACKAGES := clang-format clang-tidy
 PACKAGES := $(BUILD_PACKAGES) $(TEST_PACKAGES) $(LINT_PACKAGES)
-SOURCES := $(shell git ls-files 'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h')
+SOURCES := $(shell git ls-files 'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h' 'bench/*.cpp')
 
-.PHONY: build test test-plain test-sanitized fuzz-store lint run packages clean
+.PHONY: build test test-plain test-sanitized fuzz-store measure-store lint run packages clean
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release && cmake --build build -j4
@@ -24,6 +25,11 @@
 	cmake -B build-fuzz -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_BUILD_TYPE=Release -DRAINHOOK_FUZZ=ON -DRAINHOOK_SANITIZE=ON && cmake --build build-fuzz -j4 --target rainhook_store_fuzz
 	mkdir -p build-fuzz/found && build-fuzz/rainhook_store_fuzz -max_total_time=$(FUZZ_SECONDS) -max_len=4096 build-fuzz/found tests/fuzz/corpus/store
 
+# Not in CI: wants a disk of its own and quiet cores. MEASURE_IN is on the disk to be measured.
+measure-store:
+	cmake -B build-measure -DCMAKE_BUILD_TYPE=Release -DRAINHOOK_MEASURE=ON && cmake --build build-measure -j4 --target store_measure
+	build-measure/store_measure $(MEASURE_IN)
+
 lint:
 	clang-format --dry-run --Werror $(SOURCES)
 	cmake -B build -DCMAKE_BUILD_TYPE=Release -DCMAKE_EXPORT_COMPILE_COMMANDS=ON
