--- a/src/store/format.h
+++ b/src/store/format.h
@@ -119,6 +119,7 @@
 // Names in the folder.
 inline constexpr const char* manifestName = "MANIFEST";
 inline constexpr const char* manifestTemporary = "MANIFEST.tmp";
+inline constexpr const char* incompleteName = "INCOMPLETE";  // in a snapshot until it is whole
 inline constexpr const char* lockName = "LOCK";
 inline constexpr const char* asidePrefix = "aside-";
 std::string segmentName(SegmentNumber number);
--- a/src/store/recovery.cpp
+++ b/src/store/recovery.cpp
@@ -81,6 +81,10 @@
   std::vector<Disk::Listed> there;
   if (const auto fault = book_.disk_.list(there))
     return {Outcome::Code::failed, "the folder: " + fault.text()};
+  for (const auto& file : there)
+    if (file.name == incompleteName)
+      return {Outcome::Code::misused,
+              "the folder holds a snapshot that was cut short; remove it and make another"};
   for (const auto& file : there) {
     names_.insert(file.name);
     if (file.folder) continue;
--- a/src/store/snapshot.cpp
+++ b/src/store/snapshot.cpp
@@ -17,6 +17,12 @@
   if (const auto fault = into->list(there))
     return {Outcome::Code::failed, "the snapshot's folder: " + fault.text()};
   if (!there.empty()) return {Outcome::Code::misused, "the snapshot's folder is not empty"};
+  const auto marker = into->create(incompleteName);
+  if (marker.fault) return {Outcome::Code::failed, std::string(incompleteName) + ": " + marker.fault.text()};
+  if (const auto fault = into->syncFolder()) {
+    into->remove(incompleteName);
+    return {Outcome::Code::failed, "the snapshot's folder: " + fault.text()};
+  }
   job_.reset();
   if (output_) flushOutput(true);
   if (output_) seal(output_, false);
@@ -24,6 +30,7 @@
   copying_ = std::make_unique<Copying>();
   copying_->into = std::move(into);
   copying_->ended = std::move(ended);
+  copying_->made = {incompleteName};
   copying_->manifest = encodeManifest(manifest(true));
   for (const auto& [number, segment] : sealed_)
     for (const auto& name : {segmentName(number), hintName(number)}) copying_->names.push_back(name);
@@ -43,6 +50,8 @@
     if (const auto fault = writeAll(*opened.file, 0, c.manifest)) return failed(manifestName, fault);
     if (const auto fault = opened.file->sync()) return failed(manifestName, fault);
     if (const auto fault = c.into->syncFolder()) return failed("the folder", fault);
+    if (const auto fault = c.into->remove(incompleteName)) return failed(incompleteName, fault);
+    if (const auto fault = c.into->syncFolder()) return failed("the folder", fault);
     c.made.clear();
     endSnapshot({});
     return true;
@@ -72,7 +81,8 @@
 
 void Book::endSnapshot(Outcome outcome) {
   const auto copying = std::move(copying_);
-  for (const auto& name : copying->made) copying->into->remove(name);  // of one that did not come to its end
+  // Of one that did not come to its end, the marker last.
+  for (auto name = copying->made.rbegin(); name != copying->made.rend(); ++name) copying->into->remove(*name);
   if (copying->ended) copying->ended(std::move(outcome));
 }
 
--- a/tests/store_crash_test.cpp
+++ b/tests/store_crash_test.cpp
@@ -178,10 +178,9 @@
     target.crashAt = at;
     std::optional<Outcome> ended;
     auto copied = history.ledger;
-    ASSERT_TRUE(history.book()
-                    .beginSnapshot(std::make_unique<ForgettingDisk>(target),
-                                   [&](Outcome outcome) { ended = outcome; })
-                    .ok());
+    const auto begun = history.book().beginSnapshot(std::make_unique<ForgettingDisk>(target),
+                                                    [&](Outcome outcome) { ended = std::move(outcome); });
+    if (!begun.ok()) ended = begun;
     for (int i = 0; i < 2000 && !ended; ++i) {
       history.book().tidy(history.now);
       if (i % 3 == 0)
@@ -190,12 +189,18 @@
     ASSERT_TRUE(ended);
     ASSERT_EQ(history.ledger.wrongs(history.book(), history.now), "");
     operations = std::max(operations, target.operations);
-    if (!ended->ok()) continue;
-    Platter found = target.after(0);
-    History other(found, 11);
-    other.now = history.now;
-    ASSERT_TRUE(other.open());
-    ASSERT_EQ(copied.wrongs(other.book(), history.now), "") << at;
+    for (int choice = 0; choice < choices; ++choice) {
+      Platter found = target.after(choice);
+      History other(found, 11);
+      other.now = history.now;
+      // Cut short, it is refused or was never begun; whole, it is the store as it was at its beginning.
+      const bool opened = other.open();
+      const bool begunThere = found.names.size() > 1 || ended->ok();  // beside the manifest of an empty store
+      if (opened && begunThere) {
+        ASSERT_EQ(copied.wrongs(other.book(), history.now), "") << at << ", choice " << choice;
+      }
+      ASSERT_TRUE(opened || !ended->ok()) << at << ", choice " << choice;
+    }
   }
 }
 
