--- a/bench/store_measure.cpp
+++ b/bench/store_measure.cpp
@@ -1,8 +1,11 @@
 // make measure-store: what the store does on a real folder, against itself with group commit off and without
 // hints. Usage: store_measure FOLDER [entries of the start]. Takes about a minute; the folder is emptied at
 // the end.
+#include <fcntl.h>
 #include <fmt/format.h>
+#include <malloc.h>
 #include <poll.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <chrono>
@@ -154,12 +157,7 @@
   return out;
 }
 
-std::uint64_t residentBytes() {
-  std::ifstream in("/proc/self/statm");
-  std::uint64_t all = 0, resident = 0;
-  in >> all >> resident;
-  return resident * 4096;
-}
+std::uint64_t allocatedBytes() { return ::mallinfo2().uordblks; }
 
 }  // namespace
 
@@ -184,7 +182,7 @@
   {
     rig.clear();
     auto bounds = rig;
-    bounds.bounds.diskBytes = 512 << 20;
+    bounds.bounds.diskBytes = 512 << 20, bounds.bounds.indexBytes = 512 << 20;
     const auto store = bounds.open();
     std::uint64_t number = 0;
     puts(
@@ -208,7 +206,7 @@
   {
     rig.clear();
     auto large = rig;
-    large.bounds.diskBytes = std::uint64_t{2} << 30, large.bounds.indexBytes = 1 << 30;
+    large.bounds.diskBytes = std::uint64_t{4} << 30, large.bounds.indexBytes = 1 << 30;
     large.bounds.segmentBytes = 16 << 20, large.bounds.queueBytes = 64 << 20;
     {
       PosixDisk disk(large.folder);
@@ -218,16 +216,26 @@
       for (std::uint64_t i = 0; i < entries;) {
         std::vector<Write> batch;
         for (int b = 0; b < 1024 && i < entries; ++b, ++i)
-          batch.push_back({false, keyOf(i * 7919 % entries), valueOf(chance, 250), forever});
+          batch.push_back({false, keyOf(i * 7919 % entries), valueOf(chance, 1000), forever});
         book.commit(batch, now());
       }
       book.close();
     }
-    const auto start = [&](bool hints) {
+    // A start after the machine's: nothing of the files is in the cache. Warm: a start after a stop.
+    const auto forget = [&] {
+      ::sync();
+      for (const auto& entry : files::directory_iterator(large.folder)) {
+        const int file = ::open(entry.path().c_str(), O_RDONLY);
+        ::posix_fadvise(file, 0, 0, POSIX_FADV_DONTNEED);
+        ::close(file);
+      }
+    };
+    const auto start = [&](bool hints, bool cold) {
       return medianOf([&] {
         if (!hints)
           for (const auto& entry : files::directory_iterator(large.folder))
             if (entry.path().extension() == ".hint") files::remove(entry.path());
+        if (cold) forget();
         const auto begin = Clock::now();
         PosixDisk disk(large.folder);
         Book book(disk, large.bounds, {});
@@ -235,21 +243,23 @@
         return since(begin);
       });
     };
-    fmt::print("start with {} entries of 250 bytes\n", entries);
-    row("with hints, seconds", "start_hints_s", start(true), 2);
-    row("without, seconds", "start_scan_s", start(false), 2);
-    row("times as quick", "start_gain", named.back().second / named[named.size() - 2].second, 1);
+    fmt::print("start with {} entries of 1000 bytes\n", entries);
+    for (const bool cold : {true, false}) {
+      const std::string how = cold ? "cold" : "warm";
+      row(how + ", with hints, seconds", "start_" + how + "_hints_s", start(true, cold), 2);
+      row(how + ", without, seconds", "start_" + how + "_scan_s", start(false, cold), 2);
+      row("times as quick", "start_" + how + "_gain", named.back().second / named[named.size() - 2].second,
+          1);
+    }
     PosixDisk disk(large.folder);
     Book book(disk, large.bounds, {});
-    const auto before = residentBytes();
+    const auto before = allocatedBytes();
     book.open(now(), 1);
     const auto stats = book.stats();
     row("index bytes an entry, as counted", "index_entry",
         static_cast<double>(stats.indexBytes) / static_cast<double>(entries), 0);
-    row("resident bytes an entry, as measured", "resident_entry",
-        static_cast<double>(residentBytes() - std::min(residentBytes(), before)) /
-            static_cast<double>(entries),
-        0);
+    row("allocated bytes an entry, as measured", "allocated_entry",
+        static_cast<double>(allocatedBytes() - before) / static_cast<double>(entries), 0);
   }
 
   {
--- a/src/commands/store.cpp
+++ b/src/commands/store.cpp
@@ -175,13 +175,14 @@
 template <typename Hear>
 void rows(const Store& store, bool byAge, Hear hear) {
   constexpr std::size_t page = 1000;
-  std::optional<store::Sequence> age;
+  std::optional<store::Index::Behind> age;
   std::string key;
   for (bool first = true;; first = false) {
     const Page got = byAge ? store.byAge(age, page) : store.byKey(key, !first, page);
     for (const auto& row : got.rows) hear(row);
     if (!got.more) return;
-    age = got.rows.back().sequence, key = got.rows.back().key;
+    key = got.rows.back().key;
+    age = {key, got.rows.back().sequence};
   }
 }
 
--- a/src/store/book.cpp
+++ b/src/store/book.cpp
@@ -327,9 +327,9 @@
   return pageOf(most, now, [&](const auto& hear) { index_.byKey(from, beyond, hear); });
 }
 
-Page Book::byAge(std::optional<Sequence> beyond, std::size_t most, UnixTime now) const {
+Page Book::byAge(const std::optional<Index::Behind>& behind, std::size_t most, UnixTime now) const {
   const std::lock_guard lock(mutex_);
-  return pageOf(most, now, [&](const auto& hear) { index_.byAge(beyond, hear); });
+  return pageOf(most, now, [&](const auto& hear) { index_.byAge(behind, hear); });
 }
 
 FolderFacts Book::facts() const {
--- a/src/store/book.h
+++ b/src/store/book.h
@@ -95,7 +95,7 @@
   std::vector<Outcome> commit(std::span<const Write> writes, UnixTime now);
   Got get(std::string_view key, UnixTime now) const;
   Page byKey(std::string_view from, bool beyond, std::size_t most, UnixTime now) const;
-  Page byAge(std::optional<Sequence> beyond, std::size_t most, UnixTime now) const;
+  Page byAge(const std::optional<Index::Behind>& behind, std::size_t most, UnixTime now) const;
   Stats stats() const;
   // A step of what has to be done beside: expiry, ageing out, compaction, a snapshot. False where nothing is
   // to be done or can be.
--- a/src/store/book_jobs.h
+++ b/src/store/book_jobs.h
@@ -10,7 +10,7 @@
 struct Book::Job {
   SegmentNumber input{};
   std::optional<Scanner> scanner;  // none where the file is gone and only its hint is left
-  enum class Stage { copying, leaving } stage = Stage::copying;
+  enum class Stage { copying, removing, leaving } stage = Stage::copying;
   std::vector<std::pair<std::string, Sequence>> records;  // of the input; as many as a segment holds
   std::vector<Move> moves;                                // added to the output, not written yet
   std::size_t left = 0;
--- a/src/store/compaction.cpp
+++ b/src/store/compaction.cpp
@@ -53,6 +53,8 @@
 
 bool Book::compact(UnixTime now, std::uint64_t budget) {
   if (!job_ && !startJob(plan_.next(facts()))) return false;
+  // Each that syncs is a step of its own, so that a commit waits for one of them at most.
+  if (job_->stage == Job::Stage::removing) return removeInput();
   return job_->stage == Job::Stage::leaving ? leaveStep() : copyStep(budget, now);
 }
 
@@ -96,7 +98,8 @@
   }
   if (job_->scanner) return flushOutput(false);
   if (!copyLost() || !flushOutput(true)) return false;
-  return removeInput();
+  job_->stage = Job::Stage::removing;
+  return true;
 }
 
 bool Book::copyRecord(const Record& record, const Where& where, UnixTime now) {
@@ -192,8 +195,7 @@
   forgetFile(number);
   if (!disk_.remove(segmentName(number))) lessBytes(input.mapped().bytes);
   if (!disk_.remove(hintName(number))) lessBytes(input.mapped().hintBytes);
-  // What a crash leaves of them is not listed and goes at the next start.
-  if (const auto fault = disk_.syncFolder()) say("the folder: " + fault.text());
+  // No sync: what a crash leaves of them is not listed, and goes at the next start.
   job_->stage = Job::Stage::leaving;
   const std::lock_guard lock(mutex_);
   ++stats_.compactions;
--- a/src/store/format.cpp
+++ b/src/store/format.cpp
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 #include <zstd.h>
 
+#include <array>
 #include <charconv>
 #include <cstring>
 
@@ -26,12 +27,17 @@
   return static_cast<T>(value);
 }
 
+// The same bytes as in the files, without a string: this is asked for each record of a start.
 std::uint64_t seedOf(const Spot& spot) {
-  std::string words;
-  put(words, raw(spot.file.store));
-  put(words, static_cast<std::uint16_t>(spot.file.kind));
-  put(words, raw(spot.file.number));
-  put(words, spot.offset);
+  std::array<unsigned char, 26> words{};
+  std::size_t at = 0;
+  const auto add = [&](std::uint64_t value, std::size_t bytes) {
+    for (std::size_t i = 0; i < bytes; ++i) words[at++] = static_cast<unsigned char>(value >> (8 * i));
+  };
+  add(raw(spot.file.store), 8);
+  add(static_cast<std::uint64_t>(spot.file.kind), 2);
+  add(raw(spot.file.number), 8);
+  add(spot.offset, 8);
   return XXH3_64bits(words.data(), words.size());
 }
 
--- a/src/store/index.cpp
+++ b/src/store/index.cpp
@@ -22,7 +22,7 @@
 }  // namespace
 
 const Entry* Index::find(std::string_view key) const {
-  const auto at = entries_.find(key);
+  const auto at = this->at(key);
   return at == entries_.end() ? nullptr : &*at;
 }
 
@@ -54,7 +54,7 @@
   if (sequence < floor_) return false;
   const State state = kind == Kind::put ? State::living : State::gone;
   if (state != State::living) goodUntil = forever;
-  const auto at = entries_.find(key);
+  const auto at = this->at(key);
   if (at == entries_.end()) {
     const auto made =
         entries_.insert({std::string(key), sequence, sequence, goodUntil, where, 1, state}).first;
@@ -82,7 +82,7 @@
 }
 
 void Index::copied(std::string_view key, Sequence sequence, Where where) {
-  const auto at = entries_.find(key);
+  const auto at = this->at(key);
   if (at == entries_.end() || sequence < at->born) return;
   change(at, [&](Entry& entry) {
     ++entry.records;
@@ -93,7 +93,7 @@
 }
 
 bool Index::lost(std::string_view key, Sequence sequence, SegmentNumber segment) {
-  const auto at = entries_.find(key);
+  const auto at = this->at(key);
   if (at == entries_.end() || sequence < floor_ || at->sequence > sequence) return false;
   // Another whole copy of the same record serves as well.
   if (at->sequence == sequence && at->where.segment != segment) return false;
@@ -108,14 +108,14 @@
 }
 
 void Index::left(std::string_view key, Sequence sequence) {
-  const auto at = entries_.find(key);
+  const auto at = this->at(key);
   if (at == entries_.end() || sequence < at->born) return;
   if (at->records <= 1) return drop(at);
   change(at, [](Entry& entry) { --entry.records; });
 }
 
 void Index::expire(std::string_view key) {
-  const auto at = entries_.find(key);
+  const auto at = this->at(key);
   if (at == entries_.end() || at->state != State::living) return;
   change(at, [](Entry& entry) { entry.state = State::gone, entry.goodUntil = forever; });
 }
@@ -167,13 +167,26 @@
 }
 
 void Index::byKey(std::string_view from, bool beyond, const std::function<bool(const Entry&)>& hear) const {
-  for (auto at = beyond ? entries_.upper_bound(from) : entries_.lower_bound(from); at != entries_.end(); ++at)
-    if (at->state == State::living && !hear(*at)) return;
-}
-
-void Index::byAge(std::optional<Sequence> beyond, const std::function<bool(const Entry&)>& hear) const {
-  for (const Entry& entry : entries_.get<ByAge>())
-    if (entry.state == State::living && (!beyond || entry.sequence > *beyond) && !hear(entry)) return;
+  for (auto next = beyond ? entries_.upper_bound(from) : entries_.lower_bound(from); next != entries_.end();
+       ++next)
+    if (next->state == State::living && !hear(*next)) return;
+}
+
+void Index::byAge(const std::optional<Behind>& behind, const std::function<bool(const Entry&)>& hear) const {
+  const auto& age = entries_.get<ByAge>();
+  auto next = age.begin();
+  if (behind) {
+    // Where that one has been written again meanwhile, it stands at the end: the place is found by its
+    // sequence.
+    const auto known = at(behind->key);
+    if (known != entries_.end() && known->sequence == behind->sequence)
+      next = std::next(entries_.project<ByAge>(known));
+    else
+      next = std::find_if(next, age.end(),
+                          [&](const Entry& entry) { return entry.sequence > behind->sequence; });
+  }
+  for (; next != age.end(); ++next)
+    if (next->state == State::living && !hear(*next)) return;
 }
 
 }  // namespace rainhook::store
--- a/src/store/index.h
+++ b/src/store/index.h
@@ -79,9 +79,14 @@
   std::size_t size() const { return entries_.size(); }
   std::size_t livingEntries() const { return livingEntries_; }
 
-  // Living entries from a key on, or by age from a sequence on, until `hear` says false.
+  // Living entries in order of their keys, from `from` on (beyond it where told), until `hear` says false.
   void byKey(std::string_view from, bool beyond, const std::function<bool(const Entry&)>& hear) const;
-  void byAge(std::optional<Sequence> beyond, const std::function<bool(const Entry&)>& hear) const;
+  // Living entries, the oldest first, from the one behind this key and sequence on, until `hear` says false.
+  struct Behind {
+    std::string key;
+    Sequence sequence{};
+  };
+  void byAge(const std::optional<Behind>& behind, const std::function<bool(const Entry&)>& hear) const;
 
   // What a gone entry needs on disk while older records of its key stand there.
   static std::uint64_t tombstoneBytes(std::size_t key) { return recordBytes(key, 0) + hintBytes(key); }
@@ -99,6 +104,8 @@
                      boost::multi_index::member<Entry, UnixTime, &Entry::goodUntil>>>>;
   using At = Entries::iterator;
 
+  At at(std::string_view key) const { return entries_.find(key); }
+
   void drop(At at);
   template <typename Change>
   void change(At at, Change change);
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -198,8 +198,8 @@
 Page Store::byKey(std::string_view from, bool beyond, std::size_t most) const {
   return book_.byKey(from, beyond, most, clock_());
 }
-Page Store::byAge(std::optional<Sequence> beyond, std::size_t most) const {
-  return book_.byAge(beyond, most, clock_());
+Page Store::byAge(const std::optional<Index::Behind>& behind, std::size_t most) const {
+  return book_.byAge(behind, most, clock_());
 }
 
 Store::Figures Store::figures() const {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -49,7 +49,7 @@
   [[nodiscard]] Outcome fetch(std::string key, HeardGot heard);
   // What is on the disk, in pages.
   Page byKey(std::string_view from, bool beyond, std::size_t most) const;
-  Page byAge(std::optional<Sequence> beyond, std::size_t most) const;
+  Page byAge(const std::optional<Index::Behind>& behind, std::size_t most) const;
   struct Figures {
     Stats book;
     std::uint64_t queueBytes = 0, queueMost = 0, queueRefused = 0;
