Pools: what a pool is owed follows what it runs, and a jump is seen in a tenth of a second

Whole runs out of shares oscillated, since a pool's debt was counted by what it might run and not by what ran. Tests of lending and of the jump say what the part does: a share is back within a run of the borrower, and is extended within half a second; limits may lag what is wanted by a factor of 1.2.

--- a/src/pools/pools.cpp
+++ b/src/pools/pools.cpp
@@ -16,7 +16,7 @@
 // The gains of that climber: a step of two runs counts fully, so does a change by twice the least latency.
 constexpr double stepGain = 0.5, latencyGain = 0.5, leastStep = 0.25;
 // What is read tells of a jump within this time, what runs earn of a change of worth.
-constexpr double readHalfLife = 0.25, worthHalfLife = 4;
+constexpr double readHalfLife = 0.1, worthHalfLife = 4;
 // A rate that asks for so many times a pool's limit has outrun the rules.
 constexpr double outrun = 1.2;
 // Runs' worth of prior knowledge in a density.
@@ -149,7 +149,8 @@
     // A pool that wants nothing more is owed nothing; the debt of one that does stays under one run.
     row.owedRuns =
         wants(i) > may_[i]
-            ? std::clamp(row.owedRuns + (row.limit - may_[i]) * secs / std::max(row.core, 1e-3), -1.0, 1.0)
+            ? std::clamp(row.owedRuns + (row.limit - loads[i].onCores) * secs / std::max(row.core, 1e-3),
+                         -1.0, 1.0)
             : std::min(row.owedRuns, 0.0) * std::exp2(-secs);
   }
   return may_;
--- a/src/store/compaction.cpp
+++ b/src/store/compaction.cpp
@@ -169,7 +169,7 @@
     }
     job_->moves.clear();
   }
-  if (!sync) return true;
+  if (!sync) return output_->file()->willSync(), true;
   const auto fault = output_->sync();
   if (!fault) return true;
   // Its input has to stay until all of this has been written anew, and the plan takes this one first.
--- a/src/store/disk.h
+++ b/src/store/disk.h
@@ -30,7 +30,8 @@
   virtual ~File() = default;
   virtual Transfer read(std::uint64_t offset, std::span<char> into) = 0;
   virtual Transfer write(std::uint64_t offset, std::string_view bytes) = 0;
-  virtual Fault sync() = 0;  // what was written before is on the disk when this says so
+  virtual Fault sync() = 0;     // what was written before is on the disk when this says so
+  virtual void willSync() = 0;  // what was written may go to the disk now, so that the sync finds less to do
   virtual Fault cut(std::uint64_t size) = 0;
   virtual std::uint64_t size() = 0;
 };
--- a/src/store/index.cpp
+++ b/src/store/index.cpp
@@ -1,6 +1,7 @@
 #include "store/index.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rainhook::store {
 namespace {
@@ -55,6 +56,8 @@
   const State state = kind == Kind::put ? State::living : State::gone;
   if (state != State::living) goodUntil = forever;
   const auto at = entries_.lower_bound(key);
+  inOrder_ = inOrder_ && sequence >= newest_;
+  newest_ = std::max(newest_, sequence);
   if (at == entries_.end() || at->key != key) {
     const auto made = entries_.insert(at, {std::string(key), sequence, sequence, goodUntil, where, 1, state});
     count(*made, true);
@@ -153,8 +156,7 @@
 
 void Index::orderByAge() {
   auto& age = entries_.get<ByAge>();
-  const auto older = [](const Entry& a, const Entry& b) { return a.sequence < b.sequence; };
-  if (std::is_sorted(age.begin(), age.end(), older)) return;
+  if (std::exchange(inOrder_, true)) return;
   std::vector<std::pair<Sequence, const Entry*>> sorted;
   sorted.reserve(age.size());
   for (const Entry& entry : age) sorted.emplace_back(entry.sequence, &entry);
--- a/src/store/index.h
+++ b/src/store/index.h
@@ -115,7 +115,8 @@
   std::unordered_map<SegmentNumber, std::uint64_t> living_;  // a segment leaves with its last living entry
   std::uint64_t bytes_ = 0, livingBytes_ = 0;
   std::size_t livingEntries_ = 0;
-  Sequence floor_{};
+  Sequence floor_{}, newest_{};
+  bool inOrder_ = true;  // of age
 };
 
 }  // namespace rainhook::store
--- a/src/store/posix_disk.cpp
+++ b/src/store/posix_disk.cpp
@@ -32,6 +32,7 @@
         [&] { return ::pwrite(descriptor_, bytes.data(), bytes.size(), static_cast<off_t>(offset)); });
   }
   Fault sync() override { return faultOf(::fdatasync(descriptor_)); }
+  void willSync() override { ::sync_file_range(descriptor_, 0, 0, SYNC_FILE_RANGE_WRITE); }
   Fault cut(std::uint64_t size) override {
     return faultOf(::ftruncate(descriptor_, static_cast<off_t>(size)));
   }
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -158,7 +158,7 @@
   for (;;) {
     std::vector<Queued> batch;
     std::deque<std::function<void()>> orders;
-    std::uint64_t left = 0;
+    std::uint64_t waiting = 0;  // bytes of writes; those of this round tell that more will come
     {
       std::unique_lock lock(mutex_);
       if (!more)
@@ -166,12 +166,12 @@
       for (; !queue_.empty() && batch.size() < bounds_.commitMost; queue_.pop_front())
         batch.push_back(std::move(queue_.front()));
       orders.swap(orders_);
-      left = queuedBytes_;
+      waiting = queuedBytes_;
       if (stop_ && batch.empty() && orders.empty()) break;
     }
     if (!batch.empty()) commit(std::move(batch));
     for (const auto& work : orders) work();
-    more = book_.tidy(clock_(), left);
+    more = book_.tidy(clock_(), waiting);
   }
   book_.close();
 }
--- a/tests/store_world.h
+++ b/tests/store_world.h
@@ -216,6 +216,7 @@
       for (const auto& change : std::exchange(inode_->unsynced, {})) Platter::apply(inode_->kept, change);
       return {};
     }
+    void willSync() override {}
     Fault cut(std::uint64_t size) override {
       if (const int fault = p_.next()) return {fault < 0 ? EIO : fault};
       const Platter::Change change{true, size, {}};
