The next segment is made ahead, and a seal no longer waits for its hint

A commit that filled a segment waited for up to four syncs. Its successor's names are synced in a step before, and a hint that a crash cuts short is made anew from its segment anyway.

--- a/src/store/book.cpp
+++ b/src/store/book.cpp
@@ -182,7 +182,7 @@
   return active_ ? Outcome{} : makeSegment(active_);
 }
 
-Outcome Book::makeSegment(std::unique_ptr<Segment>& into) {
+Outcome Book::makeSpare() {
   if (!spare_) {
     Fault fault;
     auto made = Segment::make(disk_, store_, nextNumber_, fault);
@@ -190,10 +190,18 @@
     nextNumber_ = after(nextNumber_);
     addBytes(made->bytes() + made->hintBytes());
     spare_ = std::move(made);
+    spareNamed_ = false;
   }
   // Its name has to be on the disk before the manifest tells of it: a listed segment that is not there counts
   // as lost.
+  if (spareNamed_) return {};
   if (const auto fault = disk_.syncFolder()) return {Outcome::Code::failed, faultIn("the folder", fault)};
+  spareNamed_ = true;
+  return {};
+}
+
+Outcome Book::makeSegment(std::unique_ptr<Segment>& into) {
+  if (auto outcome = makeSpare(); !outcome.ok()) return outcome;
   into = std::move(spare_);
   const auto fault = writeManifest();
   if (!fault) return {};
--- a/src/store/book.h
+++ b/src/store/book.h
@@ -137,6 +137,7 @@
   Outcome ensureActive();
   void seal(std::unique_ptr<Segment>& segment, bool distrusted);
   Outcome makeSegment(std::unique_ptr<Segment>& into);
+  Outcome makeSpare();
   Fault writeManifest();
   bool makeRoom(std::uint64_t cost, UnixTime now);
   void addSweep(Sequence before, UnixTime until);
@@ -148,6 +149,7 @@
   // Tidying.
   bool expire(UnixTime now);
   bool ageOut(std::uint64_t atLeast);
+  bool makeAhead();
   bool compact(UnixTime now, std::uint64_t budget);
   bool startJob(std::optional<SegmentNumber> next);
   bool copyStep(std::uint64_t budget, UnixTime now);
@@ -179,7 +181,8 @@
   std::vector<Sweep> sweeps_;  // a step goes once a later one covers it; sweepsMost at most
   bool opened_ = false, tidyFailed_ = false;
   std::unique_ptr<Segment> active_, output_;
-  std::unique_ptr<Segment> spare_;          // made, but the manifest could not tell of it yet
+  std::unique_ptr<Segment> spare_;          // made ahead, or the manifest could not tell of it yet
+  bool spareNamed_ = false;                 // its names are on the disk
   std::map<SegmentNumber, Sealed> sealed_;  // a segment leaves when it is removed
   std::unique_ptr<Job> job_;
   std::unique_ptr<Copying> copying_;
--- a/src/store/compaction.cpp
+++ b/src/store/compaction.cpp
@@ -19,7 +19,7 @@
   const auto budget = plan_.step(queuedBytes);
   if (copying_) return copySnapshot(budget) || expired;
   const bool aged = ageOut(0);
-  return compact(now, budget) || expired || aged;
+  return makeAhead() || compact(now, budget) || expired || aged;
 }
 
 bool Book::expire(UnixTime now) {
@@ -39,6 +39,13 @@
   return true;
 }
 
+// The next segment, before the one being written is full, so that the commit that fills it waits for less.
+bool Book::makeAhead() {
+  if (spareNamed_ && spare_) return false;
+  if (!active_ || active_->weight() < bounds_.segmentBytes / 4 * 3) return false;
+  return makeSpare().ok();
+}
+
 bool Book::ageOut(std::uint64_t atLeast) {
   auto excess = plan_.excess(facts());
   excess.disk = std::max(excess.disk, atLeast);
--- a/src/store/segment.cpp
+++ b/src/store/segment.cpp
@@ -73,7 +73,7 @@
   hint(Kind::hintEnd, {}, {settled_, records_});
   const auto hints = std::exchange(hints_, {});
   if (!writeAll(*hint_, hintWritten_, hints)) hintWritten_ += hints.size();
-  hint_->sync();
+  hint_->willSync();  // no need to wait: a start that finds it cut short reads the segment
   hint_.reset();
 }
 
