--- a/Makefile
+++ b/Makefile
@@ -10,30 +10,30 @@
 .PHONY: build test test-plain test-sanitized fuzz-store measure-store lint run packages clean
 
 build:
-	cmake -B build -DCMAKE_BUILD_TYPE=Release && cmake --build build -j4
+	cmake -B build -DCMAKE_BUILD_TYPE=Release && cmake --build build -j$$(nproc)
 
 test: test-plain test-sanitized
 
 test-plain: OPTIONS :=
 test-sanitized: OPTIONS := -DRAINHOOK_SANITIZE=ON
 test-plain test-sanitized:
-	cmake -B build-$@ -DCMAKE_BUILD_TYPE=Release -DRAINHOOK_TESTS=ON $(OPTIONS) && cmake --build build-$@ -j4
+	cmake -B build-$@ -DCMAKE_BUILD_TYPE=Release -DRAINHOOK_TESTS=ON $(OPTIONS) && cmake --build build-$@ -j$$(nproc)
 	ctest --test-dir build-$@ --output-on-failure --timeout 120
 
 # A search of FUZZ_SECONDS for bytes that harm the store's readers; not in CI, which runs the corpus.
 fuzz-store:
-	cmake -B build-fuzz -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_BUILD_TYPE=Release -DRAINHOOK_FUZZ=ON -DRAINHOOK_SANITIZE=ON && cmake --build build-fuzz -j4 --target rainhook_store_fuzz
+	cmake -B build-fuzz -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_BUILD_TYPE=Release -DRAINHOOK_FUZZ=ON -DRAINHOOK_SANITIZE=ON && cmake --build build-fuzz -j$$(nproc) --target rainhook_store_fuzz
 	mkdir -p build-fuzz/found && build-fuzz/rainhook_store_fuzz -max_total_time=$(FUZZ_SECONDS) -max_len=4096 build-fuzz/found tests/fuzz/corpus/store
 
 # Not in CI: wants a disk of its own and quiet cores. MEASURE_IN is on the disk to be measured.
 measure-store:
-	cmake -B build-measure -DCMAKE_BUILD_TYPE=Release -DRAINHOOK_MEASURE=ON && cmake --build build-measure -j4 --target store_measure
+	cmake -B build-measure -DCMAKE_BUILD_TYPE=Release -DRAINHOOK_MEASURE=ON && cmake --build build-measure -j$$(nproc) --target store_measure
 	build-measure/store_measure $(MEASURE_IN)
 
 lint:
 	clang-format --dry-run --Werror $(SOURCES)
 	cmake -B build -DCMAKE_BUILD_TYPE=Release -DCMAKE_EXPORT_COMPILE_COMMANDS=ON
-	printf '%s\n' $(filter src/%.cpp,$(SOURCES)) | xargs -P4 -n1 clang-tidy --quiet -p build
+	printf '%s\n' $(filter src/%.cpp,$(SOURCES)) | xargs -P$$(nproc) -n1 clang-tidy --quiet -p build
 
 run: build
 	python3 examples/toy.py build/rainhook
