--- a/tests/store_damage_test.cpp
+++ b/tests/store_damage_test.cpp
@@ -195,11 +195,12 @@
   Platter platter;
   History history(platter, 1);
   ASSERT_TRUE(history.open());
-  history.put({{false, "inner", "old", forever}});
-  const auto name = segmentName(SegmentNumber{1});
-  const auto inner = platter.image().at(name).substr(headBytes);
-  history.put({{false, "inner", "new", forever}});
+  history.put({{false, "inner", "true", forever}});
+  std::string inner;  // as it would be later in this file, at another place than where it comes to stand
+  append(inner, {Kind::put, false, Sequence{1000}, forever, "inner", "forged"},
+         {{FileKind::segment, history.book().id(), SegmentNumber{1}}, headBytes});
   history.put({{false, "outer", inner, forever}});
+  const auto name = segmentName(SegmentNumber{1});
   auto image = platter.image();
   const auto at = image.at(name).rfind("outer");
   image[name][at] = 'X';  // the outer record breaks, and the search for the next one runs through its value
@@ -207,10 +208,34 @@
   Platter found = Platter::of(image);
   History after(found, 1);
   ASSERT_TRUE(after.open());
-  EXPECT_EQ(after.book().get("inner", after.now).value, "new");
+  EXPECT_EQ(after.book().get("inner", after.now).value, "true");
   EXPECT_FALSE(after.book().get("outer", after.now).value);
 }
 
+TEST(StoreStrangers, WithoutALostSegmentAndItsHintNothingOlderIsServed) {
+  for (const bool closed : {true, false}) {
+    Platter platter;
+    History history(platter, 1);
+    ASSERT_TRUE(history.open());
+    history.put({{false, "key1", "first", forever}});
+    ASSERT_TRUE(history.open());
+    history.put({{false, "key1", "second", forever}});
+    if (closed) history.book().close();
+    auto image = platter.image();
+    std::string last;
+    for (const auto& [name, bytes] : image)
+      if (name.ends_with(".seg") && bytes.find("second") != std::string::npos) last = name;
+    ASSERT_NE(last, "");
+    image.erase(last), image.erase(last.substr(0, 10) + ".hint");
+    Platter found = Platter::of(image);
+    History after(found, 1);
+    for (int start = 0; start < 2; ++start) {
+      ASSERT_TRUE(after.open());
+      EXPECT_FALSE(after.book().get("key1", after.now).value) << "start " << start;
+    }
+  }
+}
+
 TEST(StoreStrangers, DamageFoundByAReadIsToldOnceAndNothingOlderComesBack) {
   Platter platter;
   History history(platter, 1);
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -177,6 +177,28 @@
         << i << " went before its time";
 }
 
+// Nobody tidies between the commits, so the folder fills to its line; half of it lives, and none of that may
+// go.
+TEST(StoreRoom, AFullFolderCanAlwaysCompactWithoutAgeingOut) {
+  Platter platter;
+  auto bounds = smallBounds();
+  bounds.diskBytes = 24 << 10;
+  History history(platter, 1, bounds);
+  ASSERT_TRUE(history.open());
+  Chance chance(8);
+  std::map<std::string, std::string> latest;
+  for (std::uint64_t i = 0; i < 3000; ++i) {
+    const auto key = named("n", below(chance, 40));
+    const auto value = std::to_string(i) + std::string(40, 'v');
+    ASSERT_TRUE(
+        history.book().commit(std::vector<Write>{{false, key, value, forever}}, history.now).front().ok());
+    latest[key] = value;
+    ASSERT_LE(platter.used(), bounds.diskBytes);
+  }
+  EXPECT_EQ(history.book().stats().agedOut, 0u);
+  for (const auto& [key, value] : latest) EXPECT_EQ(history.book().get(key, history.now).value, value);
+}
+
 TEST(StoreRoom, TheIndexStaysUnderItsBound) {
   Platter platter;
   auto bounds = smallBounds();
