--- a/src/options/options.cpp
+++ b/src/options/options.cpp
@@ -59,8 +59,11 @@
 std::vector<std::string> switchedOn(const Options& options) {
   std::vector<std::string> out;
   if (options.store)
-    out.push_back(fmt::format("store: in {}, at most {} kB on disk and {} kB of index", options.store->folder,
-                              options.store->bounds.diskBytes >> 10, options.store->bounds.indexBytes >> 10));
+    out.push_back(
+        fmt::format("store: in {}, at most {} kB on disk and {} kB of index (for rainhook store; serve does "
+                    "not open it yet)",
+                    options.store->folder, options.store->bounds.diskBytes >> 10,
+                    options.store->bounds.indexBytes >> 10));
   return out;
 }
 
