Store: a failed write and a lost record can no longer undo an erasure

A write that failed may still be found by a start: an erasure of its key was answered without a record, and where the file could not be cut back its record was counted as leaving though it never came, so that a needed erasure could be forgotten. A record known lost took a new age without its place, which kept what is behind it from ageing out. A reader could hold a removed segment open.

--- a/src/store/book.cpp
+++ b/src/store/book.cpp
@@ -103,7 +103,8 @@
         std::any_of(before.begin(), before.end(), [&](const Write& w) { return w.key == write.key; });
     const std::lock_guard lock(mutex_);
     const Entry* entry = index_.find(write.key);
-    if (!here && (!entry || entry->state == State::gone)) return;  // there is nothing to erase
+    // There is nothing to erase, unless a write that failed may have left something.
+    if (!here && !uncertain_ && (!entry || entry->state == State::gone)) return;
   }
   Record record{erase ? Kind::erase : Kind::put,   false,     nextSequence_,
                 erase ? forever : write.goodUntil, write.key, {}};
@@ -131,13 +132,15 @@
   for (std::size_t i = 0; i < writes.size(); ++i) addWrite(writes[i], writes.first(i), now, moves);
   if (moves.empty() && !sweep) return {};
   if (const auto fault = counted(*active_, [&] { return active_->write(); })) {
-    if (active_->broken()) seal(active_, false), active_.reset();
+    uncertain_ = true;
+    if (active_->broken()) seal(active_, true);
     return fault;
   }
   const auto fault = active_->sync();
   if (fault) {
     say(fmt::format("{}; it is not trusted any more, and what lives in it is written anew",
                     faultIn(segmentName(active_->number()), fault)));
+    uncertain_ = true;
     counted(*active_, [&] { return active_->takeBack(), 0; });
     seal(active_, true);
     const std::lock_guard lock(mutex_);
@@ -177,10 +180,7 @@
   return true;
 }
 
-Outcome Book::ensureActive() {
-  if (active_ && active_->broken()) seal(active_, false);
-  return active_ ? Outcome{} : makeSegment(active_);
-}
+Outcome Book::ensureActive() { return active_ ? Outcome{} : makeSegment(active_); }
 
 Outcome Book::makeSpare() {
   if (!spare_) {
@@ -212,7 +212,7 @@
 void Book::seal(std::unique_ptr<Segment>& segment, bool distrusted) {
   counted(*segment, [&] { return segment->seal(), 0; });
   sealed_[segment->number()] = {
-      segment->bytes(), segment->hintBytes(), segment->last(), distrusted, false, {}};
+      segment->bytes(), segment->hintBytes(), segment->settled(), segment->last(), distrusted, false, {}};
   segment.reset();
 }
 
--- a/src/store/book.h
+++ b/src/store/book.h
@@ -112,6 +112,7 @@
   // A segment that takes no more.
   struct Sealed {
     std::uint64_t bytes = 0, hintBytes = 0;
+    std::uint64_t settled = 0;  // what counts of it; behind may stand records of a write that failed
     Sequence last{};
     bool distrusted = false, damaged = false;
     std::vector<std::pair<std::string, Sequence>> lost;  // its records that suppress older ones
@@ -180,6 +181,7 @@
   Sequence nextSequence_{1};
   std::vector<Sweep> sweeps_;  // a step goes once a later one covers it; sweepsMost at most
   bool opened_ = false, tidyFailed_ = false;
+  bool uncertain_ = false;  // a write has failed, and may be found by a start all the same
   std::unique_ptr<Segment> active_, output_;
   std::unique_ptr<Segment> spare_;          // made ahead, or the manifest could not tell of it yet
   bool spareNamed_ = false;                 // its names are on the disk
--- a/src/store/compaction.cpp
+++ b/src/store/compaction.cpp
@@ -80,7 +80,7 @@
 bool Book::dropJob(const std::string& why) {
   job_.reset();
   if (output_) counted(*output_, [&] { return output_->takeBack(), 0; });
-  if (output_ && output_->broken()) seal(output_, false);
+  if (output_ && output_->broken()) seal(output_, true);
   tidyFailed_ = true;
   say("compaction rests: " + why);
   return false;
@@ -90,7 +90,7 @@
   const auto until = job_->scanner ? job_->scanner->position() + budget : 0;
   while (job_->scanner && job_->scanner->position() < until) {
     const auto step = job_->scanner->next();
-    if (step.what == Scanner::Step::What::end) {
+    if (step.what == Scanner::Step::What::end || step.offset >= sealed_[job_->input].settled) {
       job_->scanner.reset();
       break;
     }
@@ -199,9 +199,9 @@
     sealed_.insert(std::move(input));
     return dropJob(std::string(manifestName) + ": " + fault.text());
   }
-  forgetFile(number);
   if (!disk_.remove(segmentName(number))) lessBytes(input.mapped().bytes);
   if (!disk_.remove(hintName(number))) lessBytes(input.mapped().hintBytes);
+  forgetFile(number);  // after its name, or a reader could open it once more and keep its room
   // No sync: what a crash leaves of them is not listed, and goes at the next start.
   job_->stage = Job::Stage::leaving;
   const std::lock_guard lock(mutex_);
--- a/src/store/index.cpp
+++ b/src/store/index.cpp
@@ -100,6 +100,8 @@
   // Another whole copy of the same record serves as well.
   if (at->sequence == sequence && at->where.segment != segment) return false;
   const bool own = at->sequence == sequence;  // it was counted as a record
+  inOrder_ = inOrder_ && own;
+  newest_ = std::max(newest_, sequence);
   if (own && at->records <= 1) return drop(at), false;
   change(at, [&](Entry& entry) {
     entry.records -= own;
--- a/src/store/recovery.cpp
+++ b/src/store/recovery.cpp
@@ -196,7 +196,7 @@
 Outcome Book::Recovery::recover(SegmentNumber number, const Found& found) {
   const auto name = segmentName(number);
   auto& sealed = book_.sealed_[number];
-  sealed.bytes = found.segmentBytes, sealed.hintBytes = found.hintBytes;
+  sealed.bytes = sealed.settled = found.segmentBytes, sealed.hintBytes = found.hintBytes;
   const auto hint = readHint(number);
   auto opened = found.segment ? book_.disk_.open(name) : Disk::Opened{nullptr, {ENOENT}};
   if (ofTheProcess(opened.fault)) return {Outcome::Code::failed, name + ": " + opened.fault.text()};
--- a/src/store/segment.h
+++ b/src/store/segment.h
@@ -34,6 +34,7 @@
   SegmentNumber number() const { return head_.number; }
   const FileHead& head() const { return head_; }
   std::uint64_t bytes() const { return written_; }
+  std::uint64_t settled() const { return settled_; }  // what counts; behind it may stand what failed
   std::uint64_t hintBytes() const { return hintWritten_; }
   std::uint64_t weight() const {
     return written_ + pending_.size() + hintWritten_ + hints_.size() + recordBytes(0, hintPlaceBytes);
