--- a/src/store/book.cpp
+++ b/src/store/book.cpp
@@ -166,6 +166,11 @@
   if (sweeps_.size() > sweepsMost) sweeps_.erase(sweeps_.begin());
 }
 
+// A clock that steps back before the next commit must not take back what was seen.
+void Book::sawExpired(UnixTime now) const {
+  sweptUntil_ = std::exchange(sweepDue_, true) ? std::max(sweptUntil_, now) : now;
+}
+
 bool Book::makeRoom(std::uint64_t cost, UnixTime now) {
   const auto folder = [this] {
     const std::lock_guard lock(mutex_);
@@ -278,7 +283,7 @@
       if (found->goodUntil <= now) {
         index_.expire(key);
         ++stats_.expired;
-        sweepDue_ = true, sweptUntil_ = now;
+        sawExpired(now);
         return {};
       }
       entry = *found;
--- a/src/store/book.h
+++ b/src/store/book.h
@@ -144,6 +144,7 @@
   void addSweep(Sequence before, UnixTime until);
 
   // Reading.
+  void sawExpired(UnixTime now) const;
   std::shared_ptr<File> fileOf(SegmentNumber number, Fault& fault) const;
   void forgetFile(SegmentNumber number);
 
--- a/src/store/compaction.cpp
+++ b/src/store/compaction.cpp
@@ -35,7 +35,7 @@
   const auto count = index_.expireUntil(now, expiredAStep);
   if (count == 0) return false;
   stats_.expired += count;
-  sweepDue_ = true, sweptUntil_ = now;
+  sawExpired(now);
   return true;
 }
 
@@ -118,7 +118,7 @@
     if (entry->state == State::living && entry->goodUntil <= now) {
       index_.expire(record.key);
       ++stats_.expired;
-      sweepDue_ = true, sweptUntil_ = now;
+      sawExpired(now);
     }
     living = entry->state == State::living;
     // Gone, and nothing else of it on disk: it may be forgotten.
--- a/src/store/snapshot.cpp
+++ b/src/store/snapshot.cpp
@@ -1,6 +1,6 @@
 // A copy of the store in another folder, made while writes go on: all segments are sealed at its beginning,
-// none is compacted until its end, and the manifest comes last, so that a copy that was cut short is no
-// store.
+// none is compacted until its end. A marker stands in the folder until all of it is there, so that a copy
+// that was cut short, which may hold older records without what erased them, is never taken for a store.
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -23,6 +23,8 @@
     into->remove(incompleteName);
     return {Outcome::Code::failed, "the snapshot's folder: " + fault.text()};
   }
+  // A segment that has gone is still to be heard of; any other job may be begun anew.
+  while (job_ && job_->stage == Job::Stage::leaving) leaveStep();
   job_.reset();
   if (output_) flushOutput(true);
   if (output_) seal(output_, false);
