Store: callbacks count until delivered, and compact goes in steps like all else

An owner that never called deliver let callbacks, and values that were read, pile up without a bound: what was taken is charged against queue_bytes until it has been heard. compact held up commits until it was done; it is carried on by tidy now. Thresholds that stood in compaction.cpp and book.cpp moved to the plan; the two checks of a write's lengths are one; what nobody read is gone; the log is told outside of the lock.

--- a/bench/store_measure.cpp
+++ b/bench/store_measure.cpp
@@ -125,7 +125,7 @@
   rig.bounds.diskBytes = 32 << 20, rig.bounds.segmentBytes = 1 << 20;
   PosixDisk disk(rig.folder);
   Book book(disk, rig.bounds, {});
-  if (!book.open(now(), 1).ok()) std::exit(1);
+  if (!book.open(1).ok()) std::exit(1);
   pcg32 chance(9);
   constexpr std::size_t valueBytes = 300;
   const double weight = static_cast<double>(recordBytes(11, valueBytes) + hintBytes(11));
@@ -211,7 +211,7 @@
     {
       PosixDisk disk(large.folder);
       Book book(disk, large.bounds, {});
-      if (!book.open(now(), 1).ok()) return 1;
+      if (!book.open(1).ok()) return 1;
       pcg32 chance(5);
       for (std::uint64_t i = 0; i < entries;) {
         std::vector<Write> batch;
@@ -239,7 +239,7 @@
         const auto begin = Clock::now();
         PosixDisk disk(large.folder);
         Book book(disk, large.bounds, {});
-        if (!book.open(now(), 1).ok() || book.stats().entries != entries) std::exit(1);
+        if (!book.open(1).ok() || book.stats().entries != entries) std::exit(1);
         return since(begin);
       });
     };
@@ -254,7 +254,7 @@
     PosixDisk disk(large.folder);
     Book book(disk, large.bounds, {});
     const auto before = allocatedBytes();
-    book.open(now(), 1);
+    book.open(1);
     const auto stats = book.stats();
     row("index bytes an entry, as counted", "index_entry",
         static_cast<double>(stats.indexBytes) / static_cast<double>(entries), 0);
--- a/src/commands/store.cpp
+++ b/src/commands/store.cpp
@@ -233,8 +233,10 @@
 int compact(Session& session) {
   Store& store = session.store();
   const auto before = store.figures().book.folderBytes;
-  Session::must(store.compact({}));
+  Outcome last;
+  Session::must(store.compact([&](const Outcome& outcome) { last = outcome; }));
   store.settle();
+  Session::must(last);
   fmt::print("{} bytes before, {} after\n", before, store.figures().book.folderBytes);
   return fine;
 }
--- a/src/store/book.cpp
+++ b/src/store/book.cpp
@@ -41,21 +41,22 @@
   return recordBytes(write.key.size(), write.value.size()) + hintBytes(write.key.size());
 }
 
-Outcome Book::refusal(const Write& write) const {
+Outcome refusalOf(const Write& write, const StoreBounds& bounds) {
   if (write.key.empty()) return {Outcome::Code::misused, "the key is empty"};
-  if (write.key.size() > bounds_.longestKey)
+  if (write.key.size() > bounds.longestKey)
     return {Outcome::Code::tooLong,
-            fmt::format("a key of {} bytes; {} are allowed", write.key.size(), bounds_.longestKey)};
-  if (write.value.size() > bounds_.longestValue)
+            fmt::format("a key of {} bytes; {} are allowed", write.key.size(), bounds.longestKey)};
+  if (write.value.size() > bounds.longestValue)
     return {Outcome::Code::tooLong,
-            fmt::format("a value of {} bytes; {} are allowed", write.value.size(), bounds_.longestValue)};
+            fmt::format("a value of {} bytes; {} are allowed", write.value.size(), bounds.longestValue)};
   return {};
 }
 
 std::vector<Outcome> Book::commit(std::span<const Write> writes, UnixTime now) {
   std::vector<Outcome> out(writes.size());
   for (std::size_t at = 0; at < writes.size();) {
-    out[at] = opened_ ? refusal(writes[at]) : Outcome{Outcome::Code::closed, "the store is not open"};
+    out[at] =
+        opened_ ? refusalOf(writes[at], bounds_) : Outcome{Outcome::Code::closed, "the store is not open"};
     if (!out[at].ok()) {
       ++at;
       continue;
@@ -65,7 +66,7 @@
     const auto base = active_ ? active_->weight() : 2 * headBytes;
     std::uint64_t cost = costOf(writes[at]);
     std::size_t end = at + 1;
-    while (end < writes.size() && end - at < bounds_.commitMost && refusal(writes[end]).ok() &&
+    while (end < writes.size() && end - at < bounds_.commitMost && refusalOf(writes[end], bounds_).ok() &&
            !plan_.isFull(base + cost, costOf(writes[end])))
       cost += costOf(writes[end++]);
     const auto outcome = commitPortion(writes.subspan(at, end - at), cost, now);
@@ -151,7 +152,7 @@
   if (sweep) addSweep(sweep->before, sweep->until);
   const std::lock_guard lock(mutex_);
   for (const Move& move : moves) index_.seen(move.key, move.kind, move.sequence, move.goodUntil, move.where);
-  ++stats_.commits, ++stats_.syncs;
+  ++stats_.commits;
   for (const Write& write : writes) {
     ++(write.erase ? stats_.erases : stats_.puts);
     stats_.putBytes += costOf(write);
@@ -180,7 +181,7 @@
   while (!plan_.mayWrite(folder(), cost)) {
     if (copying_) return false;  // a snapshot holds all segments in place
     if (tidy(now)) continue;
-    if (tidyFailed_ || !ageOut(bounds_.segmentBytes / 4)) return false;
+    if (tidyFailed_ || !ageOut(plan_.ageOutAtLeast())) return false;
   }
   return true;
 }
@@ -303,16 +304,18 @@
           return {std::move(plain), entry.goodUntil, {}};
       }
     }
-    const std::lock_guard lock(mutex_);
-    const Entry* still = index_.find(key);
-    if (!still || still->where != entry.where || still->sequence != entry.sequence) continue;
     const auto name = segmentName(entry.where.segment);
-    if (read.fault) return {{}, forever, {Outcome::Code::failed, faultIn(name, read.fault)}};
-    ++stats_.lostRecords, stats_.lostBytes += entry.where.bytes;
+    {
+      const std::lock_guard lock(mutex_);
+      const Entry* still = index_.find(key);
+      if (!still || still->where != entry.where || still->sequence != entry.sequence) continue;
+      if (read.fault) return {{}, forever, {Outcome::Code::failed, faultIn(name, read.fault)}};
+      ++stats_.lostRecords, stats_.lostBytes += entry.where.bytes;
+      if (index_.lost(key, entry.sequence, entry.where.segment))
+        foundDamaged_.push_back({entry.where.segment, entry.key, entry.sequence});
+    }
     say(fmt::format("{} at {}: a record of {} bytes is damaged; its key is not served any more", name,
                     entry.where.offset, entry.where.bytes));
-    if (index_.lost(key, entry.sequence, entry.where.segment))
-      foundDamaged_.push_back({entry.where.segment, entry.key, entry.sequence});
     return {
         {}, forever, {Outcome::Code::damaged, fmt::format("{} at {}: damaged", name, entry.where.offset)}};
   }
@@ -375,7 +378,8 @@
   if (output_) flushOutput(true);
   if (output_) seal(output_, false);
   if (active_) seal(active_, false);
-  writeManifest();
+  compactionEnded({Outcome::Code::closed, "the store was closed"});
+  if (const auto fault = writeManifest()) say(faultIn(manifestName, fault) + "; the next start reads more");
   disk_.unlock();
   opened_ = false;
 }
--- a/src/store/book.h
+++ b/src/store/book.h
@@ -74,13 +74,15 @@
 struct Stats {
   std::uint64_t entries = 0, gone = 0, indexBytes = 0;
   std::uint64_t folderBytes = 0, folderMost = 0, livingBytes = 0, asideFiles = 0;
-  std::uint64_t puts = 0, erases = 0, commits = 0, syncs = 0, refused = 0, failed = 0, expired = 0,
-                agedOut = 0;
+  std::uint64_t puts = 0, erases = 0, commits = 0, refused = 0, failed = 0, expired = 0, agedOut = 0;
   std::uint64_t putBytes = 0, compactedBytes = 0, compactions = 0;
   std::uint64_t lostFiles = 0, lostRecords = 0, lostBytes = 0, tornBytes = 0, doubted = 0, hintsRebuilt = 0,
                 failedSyncs = 0;
 };
 
+// Whether a write may be taken at all: an empty key, or one of the lengths over its bound.
+Outcome refusalOf(const Write& write, const StoreBounds& bounds);
+
 class Book {
  public:
   using Tell = std::function<void(const std::string&)>;  // one line for the log
@@ -90,7 +92,7 @@
 
   // Takes the lock and recovers. It fails only where the folder can't be had at all; `seed` makes the id of a
   // new store.
-  Outcome open(UnixTime now, std::uint64_t seed);
+  Outcome open(std::uint64_t seed);
   // One group commit; an outcome for each write.
   std::vector<Outcome> commit(std::span<const Write> writes, UnixTime now);
   Got get(std::string_view key, UnixTime now) const;
@@ -99,9 +101,10 @@
   Stats stats() const;
   // A step of what has to be done beside: expiry, ageing out, compaction, a snapshot. False where nothing is
   // to be done or can be.
-  bool tidy(UnixTime now, std::uint64_t queuedBytes = 0);
-  // Compacts whatever holds anything dead until nothing does; for the command.
-  void compactAll(UnixTime now);
+  bool tidy(UnixTime now, bool writersWait = false);
+  // Has every segment that holds anything dead written anew, by `tidy` and beside all else; `ended` hears of
+  // it once none is left, or of what stood in the way.
+  void beginCompaction(std::function<void(Outcome)> ended);
   // Begins a copy into an empty folder, which `tidy` carries on; compaction rests meanwhile.
   Outcome beginSnapshot(std::unique_ptr<Disk> into, std::function<void(Outcome)> ended);
   // Syncs and seals; the next start is the quickest.
@@ -130,7 +133,6 @@
   class Recovery;
 
   // Committing.
-  Outcome refusal(const Write& write) const;
   Outcome commitPortion(std::span<const Write> writes, std::uint64_t cost, UnixTime now);
   Fault writePortion(std::span<const Write> writes, UnixTime now);
   void addWrite(const Write& write, std::span<const Write> before, UnixTime now, std::vector<Move>& moves);
@@ -153,7 +155,9 @@
   bool ageOut(std::uint64_t atLeast);
   bool makeAhead();
   bool compact(UnixTime now, std::uint64_t budget);
-  bool startJob(std::optional<SegmentNumber> next);
+  std::optional<SegmentNumber> nextInput();
+  bool startJob(SegmentNumber next);
+  void compactionEnded(const Outcome& outcome);
   bool copyStep(std::uint64_t budget, UnixTime now);
   bool copyRecord(const Record& record, const Where& where, UnixTime now);
   bool copyLost();
@@ -188,6 +192,8 @@
   bool spareNamed_ = false;                 // its names are on the disk
   std::map<SegmentNumber, Sealed> sealed_;  // a segment leaves when it is removed
   std::unique_ptr<Job> job_;
+  std::vector<SegmentNumber> asked_;                  // by beginCompaction; each leaves when its turn comes
+  std::vector<std::function<void(Outcome)>> asking_;  // until none is left
   std::unique_ptr<Copying> copying_;
   std::uint64_t manifestBytes_ = 0;
 
--- a/src/store/compaction.cpp
+++ b/src/store/compaction.cpp
@@ -12,11 +12,11 @@
 constexpr std::size_t expiredAStep = 512, leftAStep = 4096;
 }
 
-bool Book::tidy(UnixTime now, std::uint64_t queuedBytes) {
+bool Book::tidy(UnixTime now, bool writersWait) {
   if (!opened_) return false;
   tidyFailed_ = false;
   const bool expired = expire(now);
-  const auto budget = plan_.step(queuedBytes);
+  const auto budget = plan_.step(writersWait);
   if (copying_) return copySnapshot(budget) || expired;
   const bool aged = ageOut(0);
   return makeAhead() || compact(now, budget) || expired || aged;
@@ -42,7 +42,7 @@
 // The next segment, before the one being written is full, so that the commit that fills it waits for less.
 bool Book::makeAhead() {
   if (spareNamed_ && spare_) return false;
-  if (!active_ || active_->weight() < bounds_.segmentBytes / 4 * 3) return false;
+  if (!active_ || !plan_.soonFull(active_->weight())) return false;
   return makeSpare().ok();
 }
 
@@ -59,20 +59,34 @@
 }
 
 bool Book::compact(UnixTime now, std::uint64_t budget) {
-  if (!job_ && !startJob(plan_.next(facts()))) return false;
+  if (!job_) {
+    const auto next = nextInput();
+    if (!next) return compactionEnded({}), false;
+    if (!startJob(*next)) return false;
+  }
   // Each that syncs is a step of its own, so that a commit waits for one of them at most.
   if (job_->stage == Job::Stage::removing) return removeInput();
   return job_->stage == Job::Stage::leaving ? leaveStep() : copyStep(budget, now);
 }
 
-bool Book::startJob(std::optional<SegmentNumber> next) {
-  if (!next) return false;
+std::optional<SegmentNumber> Book::nextInput() {
+  if (const auto next = plan_.next(facts())) return next;
+  for (; !asked_.empty(); asked_.pop_back())
+    if (sealed_.contains(asked_.back())) {
+      const auto next = asked_.back();
+      asked_.pop_back();
+      return next;
+    }
+  return std::nullopt;
+}
+
+bool Book::startJob(SegmentNumber next) {
   job_ = std::make_unique<Job>();
-  job_->input = *next;
-  auto opened = disk_.open(segmentName(*next));
+  job_->input = next;
+  auto opened = disk_.open(segmentName(next));
   if (opened.fault && opened.fault.code != ENOENT)
-    return dropJob(segmentName(*next) + ": " + opened.fault.text());
-  if (opened.file) job_->scanner.emplace(opened.file, FileHead{FileKind::segment, store_, *next});
+    return dropJob(segmentName(next) + ": " + opened.fault.text());
+  if (opened.file) job_->scanner.emplace(opened.file, FileHead{FileKind::segment, store_, next});
   return true;
 }
 
@@ -83,6 +97,7 @@
   if (output_ && output_->broken()) seal(output_, true);
   tidyFailed_ = true;
   say("compaction rests: " + why);
+  compactionEnded({Outcome::Code::failed, why});
   return false;
 }
 
@@ -220,20 +235,18 @@
   return true;
 }
 
-void Book::compactAll(UnixTime now) {
-  while (tidy(now)) {
-  }
+void Book::beginCompaction(std::function<void(Outcome)> ended) {
   if (active_) seal(active_, false);
-  // Each segment once, and only where it holds anything dead: so this ends.
-  std::vector<SegmentNumber> dead;
+  if (output_ && !job_ && flushOutput(true)) seal(output_, false);
   for (const SegmentFacts& segment : facts().segments)
-    if (segment.sealed && segment.living + 2 * headBytes + recordBytes(0, hintPlaceBytes) < segment.bytes)
-      dead.push_back(segment.number);
-  for (const SegmentNumber number : dead) {
-    if (!sealed_.contains(number) || !startJob(number)) continue;
-    while (job_ && compact(now, bounds_.stepBytes)) {
-    }
-  }
+    if (plan_.holdsDead(segment)) asked_.push_back(segment.number);
+  asking_.push_back(std::move(ended));
+}
+
+void Book::compactionEnded(const Outcome& outcome) {
+  asked_.clear();
+  for (const auto& ended : std::exchange(asking_, {}))
+    if (ended) ended(outcome);
 }
 
 }  // namespace rainhook::store
--- a/src/store/index.cpp
+++ b/src/store/index.cpp
@@ -132,11 +132,6 @@
   return count;
 }
 
-bool Index::expiresUntil(UnixTime now) const {
-  const auto& ends = entries_.get<ByEnd>();
-  return !ends.empty() && ends.begin()->goodUntil <= now;
-}
-
 std::size_t Index::raiseFloor(Sequence floor) {
   if (floor <= floor_) return 0;
   floor_ = floor;
--- a/src/store/index.h
+++ b/src/store/index.h
@@ -63,7 +63,6 @@
   void expire(std::string_view key);
   // The same for all that were good until `now` at most, at most so many; gives how many.
   std::size_t expireUntil(UnixTime now, std::size_t most);
-  bool expiresUntil(UnixTime now) const;
   // Forgets all below; gives how many living ones that were.
   std::size_t raiseFloor(Sequence floor);
   Sequence floor() const { return floor_; }
--- a/src/store/plan.cpp
+++ b/src/store/plan.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "store/format.h"
+
 namespace rainhook::store {
 namespace {
 
@@ -44,6 +46,11 @@
   return best->number;
 }
 
+bool Plan::holdsDead(const SegmentFacts& segment) const {
+  // Two heads and the end of the hint are no loss.
+  return segment.sealed && dead(segment) > 2 * headBytes + recordBytes(0, hintPlaceBytes);
+}
+
 Plan::Excess Plan::excess(const FolderFacts& facts) const {
   std::uint64_t living = 0;
   for (const SegmentFacts& segment : facts.segments) living += segment.living;
--- a/src/store/plan.h
+++ b/src/store/plan.h
@@ -53,9 +53,15 @@
   };
   Excess excess(const FolderFacts& facts) const;
   // What a step of compaction may read: less while writers wait.
-  std::uint64_t step(std::uint64_t queuedBytes) const {
-    return queuedBytes > 0 ? bounds_.stepBytes / 4 : bounds_.stepBytes;
+  std::uint64_t step(bool writersWait) const {
+    return writersWait ? bounds_.stepBytes / 4 : bounds_.stepBytes;
   }
+  // Time to make the next segment, before a commit has to wait for that.
+  bool soonFull(std::uint64_t segmentWeight) const { return segmentWeight >= bounds_.segmentBytes / 4 * 3; }
+  // Where a write finds no room and nothing is dead, so much of the oldest gives way at once.
+  std::uint64_t ageOutAtLeast() const { return bounds_.segmentBytes / 4; }
+  // Anything to be gained by writing it anew, whatever the copy costs.
+  bool holdsDead(const SegmentFacts& segment) const;
 
  private:
   // Two manifests stand in the folder while one replaces the other.
--- a/src/store/recovery.cpp
+++ b/src/store/recovery.cpp
@@ -13,10 +13,9 @@
 namespace {
 
 // What a file says of itself at its beginning.
-HeadRead headOf(Disk& disk, const std::string& name, Fault& fault) {
-  auto opened = disk.open(name);
-  fault = opened.fault;
-  if (fault) return {{}, HeadFault::cut};
+HeadRead headOf(Disk& disk, const std::string& name) {
+  const auto opened = disk.open(name);
+  if (opened.fault) return {{}, HeadFault::cut};
   std::string bytes(headBytes, '\0');
   const auto read = readAll(*opened.file, 0, bytes);
   return decodeHead(std::string_view(bytes).substr(0, read.bytes));
@@ -29,7 +28,7 @@
 
 }  // namespace
 
-Outcome Book::open(UnixTime now, std::uint64_t seed) { return Recovery(*this, now).run(seed); }
+Outcome Book::open(std::uint64_t seed) { return Recovery(*this).run(seed); }
 
 Outcome Book::Recovery::run(std::uint64_t seed) {
   if (auto outcome = list(); !outcome.ok()) return outcome;
@@ -145,10 +144,9 @@
   }
   // The id that most files carry; the lower where two are equal.
   std::map<StoreId, int> votes;
-  Fault fault;
   for (const auto& [number, found] : found_)
     for (const auto& name : {segmentName(number), hintName(number)})
-      if (const auto read = headOf(book_.disk_, name, fault); read.fault == HeadFault::none)
+      if (const auto read = headOf(book_.disk_, name); read.fault == HeadFault::none)
         ++votes[read.head.store];
   const auto most = std::max_element(votes.begin(), votes.end(),
                                      [](const auto& a, const auto& b) { return a.second < b.second; });
@@ -167,9 +165,8 @@
   for (auto at = found_.begin(); at != found_.end();) {
     const SegmentNumber number = at->first;
     const Found found = at->second;
-    Fault fault;
     const auto name = found.segment ? segmentName(number) : hintName(number);
-    const auto head = headOf(book_.disk_, name, fault);
+    const auto head = headOf(book_.disk_, name);
     const bool whole = head.fault == HeadFault::none || head.fault == HeadFault::newer;
     const bool ours = !whole || head.head.store == book_.store_;
     const bool left = manifest_ && number < manifest_->nextNumber && !listed(number);
--- a/src/store/recovery.h
+++ b/src/store/recovery.h
@@ -9,7 +9,7 @@
 
 class Book::Recovery {
  public:
-  Recovery(Book& book, UnixTime now) : book_(book), now_(now) {}
+  explicit Recovery(Book& book) : book_(book) {}
   Outcome run(std::uint64_t seed);
 
  private:
@@ -59,7 +59,6 @@
   const Manifest::Listed* listed(SegmentNumber number) const;
 
   Book& book_;
-  UnixTime now_;
   std::set<std::string> names_;
   std::map<SegmentNumber, Found> found_;
   std::optional<Manifest> manifest_;
--- a/src/store/scanner.cpp
+++ b/src/store/scanner.cpp
@@ -14,7 +14,6 @@
     window_.resize(static_cast<std::size_t>(
         std::min<std::uint64_t>(std::max<std::uint64_t>(wanted, windowBytes), size_ - at)));
     const auto read = readAll(*file_, at, window_);
-    if (read.bytes < wanted) unreadable_ = true;
     window_.resize(read.bytes);
     windowAt_ = at;
   }
--- a/src/store/scanner.h
+++ b/src/store/scanner.h
@@ -37,7 +37,6 @@
   std::uint64_t size_, at_ = headBytes;
   std::uint64_t windowAt_ = 0;
   std::string window_;  // grows to the longest record of the file at most
-  bool unreadable_ = false;
 };
 
 }  // namespace rainhook::store
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -11,10 +11,9 @@
 namespace rainhook::store {
 namespace {
 
-constexpr std::size_t ordersMost = 4096;
 // So long a store with nothing to do waits before it looks for what has expired.
 constexpr std::chrono::milliseconds idleWait{500};
-// What a queued write takes beside its key and value.
+// What anything that was taken holds beside its key and value.
 constexpr std::uint64_t queuedOverhead = 256;
 
 }  // namespace
@@ -32,7 +31,7 @@
 }
 
 Outcome Store::open(std::uint64_t seed) {
-  auto outcome = book_.open(clock_(), seed);
+  auto outcome = book_.open(seed);
   if (!outcome.ok()) return outcome;
   open_ = true;
   writer_ = std::thread([this] { run(); });
@@ -47,23 +46,23 @@
   return take({true, std::move(key), {}, forever}, std::move(heard));
 }
 
+Outcome Store::charge(std::uint64_t bytes) {
+  if (!open_ || stop_) return {Outcome::Code::closed, "the store is closed"};
+  if (charged_ + bytes > bounds_.queueBytes) {
+    ++refused_;
+    return {Outcome::Code::queueFull, fmt::format("{} bytes wait to be written or heard", charged_)};
+  }
+  charged_ += bytes;
+  chargedMost_ = std::max(chargedMost_, charged_);
+  return {};
+}
+
 Outcome Store::take(Write write, Heard heard) {
-  if (write.key.empty()) return {Outcome::Code::misused, "the key is empty"};
-  if (write.key.size() > bounds_.longestKey || write.value.size() > bounds_.longestValue)
-    return {Outcome::Code::tooLong,
-            fmt::format("a key of {} bytes with a value of {}; {} and {} are allowed", write.key.size(),
-                        write.value.size(), bounds_.longestKey, bounds_.longestValue)};
+  if (auto refused = refusalOf(write, bounds_); !refused.ok()) return refused;
   // Twice: once in the queue, once among what `get` sees.
   const auto bytes = 2 * (write.key.size() + write.value.size()) + queuedOverhead;
   const std::lock_guard lock(mutex_);
-  if (!open_ || stop_) return {Outcome::Code::closed, "the store is closed"};
-  if (queuedBytes_ + bytes > bounds_.queueBytes) {
-    ++refused_;
-    return {Outcome::Code::queueFull, fmt::format("{} bytes wait to be written", queuedBytes_)};
-  }
-  queuedBytes_ += bytes;
-  queueMost_ = std::max(queueMost_, queuedBytes_);
-  ++underWay_;
+  if (auto refused = charge(bytes); !refused.ok()) return refused;
   const auto number = ++numbered_;
   waiting_[write.key] = {number, write.erase, write.value, write.goodUntil};
   queue_.push_back({std::move(write), std::move(heard), bytes, number});
@@ -83,48 +82,43 @@
   return book_.get(key, now);
 }
 
-Outcome Store::order(std::function<void()> work) {
+Outcome Store::order(std::uint64_t bytes, std::function<void()> work) {
   const std::lock_guard lock(mutex_);
-  if (!open_ || stop_) return {Outcome::Code::closed, "the store is closed"};
-  if (orders_.size() >= ordersMost) {
-    ++refused_;
-    return {Outcome::Code::queueFull, fmt::format("{} reads wait", orders_.size())};
-  }
-  ++underWay_;
+  if (auto refused = charge(bytes); !refused.ok()) return refused;
   orders_.push_back(std::move(work));
   wake_.notify_one();
   return {};
 }
 
 Outcome Store::fetch(std::string key, HeardGot heard) {
-  return order([this, key = std::move(key), heard = std::move(heard)]() mutable {
-    done([heard = std::move(heard), got = get(key)]() mutable { heard(std::move(got)); });
+  const auto bytes = key.size() + bounds_.longestValue + queuedOverhead;
+  return order(bytes, [this, bytes, key = std::move(key), heard = std::move(heard)] {
+    done(bytes, [heard, got = get(key)] { heard(got); });
   });
 }
 
 Outcome Store::snapshot(std::unique_ptr<Disk> into, Heard heard) {
   // Shared only since std::function wants to copy.
   auto disk = std::make_shared<std::unique_ptr<Disk>>(std::move(into));
-  return order([this, disk, heard = std::move(heard)] {
+  return order(queuedOverhead, [this, disk, heard = std::move(heard)] {
     const auto ended = [this, heard](Outcome outcome) {
-      done([heard, outcome = std::move(outcome)] { heard(outcome); });
+      done(queuedOverhead, [heard, outcome = std::move(outcome)] { heard(outcome); });
     };
     if (auto outcome = book_.beginSnapshot(std::move(*disk), ended); !outcome.ok()) ended(std::move(outcome));
   });
 }
 
 Outcome Store::compact(Heard heard) {
-  return order([this, heard = std::move(heard)] {
-    book_.compactAll(clock_());
-    done([heard] {
-      if (heard) heard({});
+  return order(queuedOverhead, [this, heard = std::move(heard)] {
+    book_.beginCompaction([this, heard](Outcome outcome) {
+      done(queuedOverhead, [heard, outcome = std::move(outcome)] { heard(outcome); });
     });
   });
 }
 
-void Store::done(std::function<void()> call) {
+void Store::done(std::uint64_t bytes, std::function<void()> call) {
   const std::lock_guard lock(mutex_);
-  called_.push_back(std::move(call));
+  called_.push_back({std::move(call), bytes});
   const std::uint64_t one = 1;
   [[maybe_unused]] const auto written = ::write(event_, &one, sizeof one);  // it is only full when readable
 }
@@ -132,13 +126,16 @@
 void Store::deliver() {
   std::uint64_t count = 0;
   [[maybe_unused]] const auto read = ::read(event_, &count, sizeof count);
-  std::vector<std::function<void()>> called;
+  std::vector<Called> called;
   {
     const std::lock_guard lock(mutex_);
     called.swap(called_);
-    underWay_ -= called.size();
   }
-  for (const auto& call : called) call();
+  for (const Called& one : called) {
+    one.call();
+    const std::lock_guard lock(mutex_);
+    charged_ -= one.bytes;
+  }
 }
 
 void Store::settle() {
@@ -146,7 +143,7 @@
     deliver();
     {
       const std::lock_guard lock(mutex_);
-      if (underWay_ == 0 || !open_) return;
+      if (charged_ == 0 || !open_) return;
     }
     pollfd ready{event_, POLLIN, 0};
     ::poll(&ready, 1, 1000);
@@ -157,8 +154,7 @@
   bool more = true;
   for (;;) {
     std::vector<Queued> batch;
-    std::deque<std::function<void()>> orders;
-    std::uint64_t waiting = 0;  // bytes of writes; those of this round tell that more will come
+    std::vector<std::function<void()>> orders;
     {
       std::unique_lock lock(mutex_);
       if (!more)
@@ -166,12 +162,12 @@
       for (; !queue_.empty() && batch.size() < bounds_.commitMost; queue_.pop_front())
         batch.push_back(std::move(queue_.front()));
       orders.swap(orders_);
-      waiting = queuedBytes_;
       if (stop_ && batch.empty() && orders.empty()) break;
     }
-    if (!batch.empty()) commit(std::move(batch));
+    const bool writes = !batch.empty();  // whoever wrote now will soon again
+    if (writes) commit(std::move(batch));
     for (const auto& work : orders) work();
-    more = book_.tidy(clock_(), waiting);
+    more = book_.tidy(clock_(), writes);
   }
   book_.close();
 }
@@ -184,13 +180,12 @@
   {
     const std::lock_guard lock(mutex_);
     for (std::size_t i = 0; i < batch.size(); ++i) {
-      queuedBytes_ -= batch[i].bytes;
       const auto at = waiting_.find(writes[i].key);
       if (at != waiting_.end() && at->second.number == batch[i].number) waiting_.erase(at);
     }
   }
   for (std::size_t i = 0; i < batch.size(); ++i)
-    done([heard = std::move(batch[i].heard), outcome = std::move(outcomes[i])] {
+    done(batch[i].bytes, [heard = std::move(batch[i].heard), outcome = std::move(outcomes[i])] {
       if (heard) heard(outcome);
     });
 }
@@ -205,7 +200,7 @@
 Store::Figures Store::figures() const {
   Figures out{book_.stats(), 0, 0, 0};
   const std::lock_guard lock(mutex_);
-  out.queueBytes = queuedBytes_, out.queueMost = queueMost_, out.queueRefused = refused_;
+  out.queueBytes = charged_, out.queueMost = chargedMost_, out.queueRefused = refused_;
   return out;
 }
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -2,9 +2,9 @@
 // put is seen by `get` at once, and its callback comes once it is on the disk. Callbacks run in `deliver`,
 // which the owner calls when `eventFd` is readable, so that a reactor never waits for the disk.
 //
-// Bounds: what waits to be written is at most queueBytes; beyond that a call is refused at once. Callbacks
-// that wait for `deliver` are no more than what was taken. `close` writes all that was taken, then ends the
-// thread.
+// Bounds: what was taken counts against queueBytes until its callback has been delivered, a read with the
+// longest value that it may bring; beyond that a call is refused at once. `close` writes all that was taken,
+// then ends the thread.
 #pragma once
 
 #include <condition_variable>
@@ -79,11 +79,16 @@
     std::string value;
     UnixTime goodUntil = forever;
   };
+  struct Called {
+    std::function<void()> call;
+    std::uint64_t bytes = 0;  // free once it has been delivered
+  };
   Outcome take(Write write, Heard heard);
-  Outcome order(std::function<void()> work);
+  Outcome order(std::uint64_t bytes, std::function<void()> work);
+  Outcome charge(std::uint64_t bytes);  // with the lock held
   void run();
   void commit(std::vector<Queued> batch);
-  void done(std::function<void()> call);
+  void done(std::uint64_t bytes, std::function<void()> call);
 
   const std::unique_ptr<Disk> disk_;
   const StoreBounds bounds_;
@@ -93,11 +98,11 @@
 
   mutable std::mutex mutex_;  // over all below
   std::condition_variable wake_;
-  std::deque<Queued> queue_;                          // queueBytes at most
+  std::deque<Queued> queue_;                          // this and what follows: queueBytes at most
   std::unordered_map<std::string, Waiting> waiting_;  // the latest write of a key until it is committed
-  std::deque<std::function<void()>> orders_;          // fetches, snapshots, compactions; ordersMost at most
-  std::vector<std::function<void()>> called_;         // until `deliver`
-  std::uint64_t queuedBytes_ = 0, queueMost_ = 0, refused_ = 0, numbered_ = 0, underWay_ = 0;
+  std::vector<std::function<void()>> orders_;         // fetches, snapshots, compactions
+  std::vector<Called> called_;                        // until `deliver`
+  std::uint64_t charged_ = 0, chargedMost_ = 0, refused_ = 0, numbered_ = 0;
   bool open_ = false, stop_ = false;
   std::thread writer_;
 };
--- a/tests/fuzz/store_fuzz.cpp
+++ b/tests/fuzz/store_fuzz.cpp
@@ -17,7 +17,7 @@
     ForgettingDisk disk(platter);
     Book book(disk, smallBounds(), {});
     const UnixTime now{std::chrono::milliseconds(1'000'000)};
-    must(book.open(now, 77).ok());
+    must(book.open(77).ok());
     const auto page = book.byKey("", false, 50, now);
     for (const auto& row : page.rows) book.get(row.key, now);
     const std::vector<Write> writes{{false, "sound", "value", forever}};
--- a/tests/store_command_test.cpp
+++ b/tests/store_command_test.cpp
@@ -160,7 +160,7 @@
     PosixDisk disk(dir_);
     Book book(disk, bounds, {});
     const UnixTime now{std::chrono::milliseconds(1)};
-    ASSERT_TRUE(book.open(now, 1).ok());
+    ASSERT_TRUE(book.open(1).ok());
     EXPECT_EQ(book.stats().lostRecords, 0u);
     for (const auto& [key, number] : least) {
       const auto got = book.get(key, now);
--- a/tests/store_damage_test.cpp
+++ b/tests/store_damage_test.cpp
@@ -85,7 +85,7 @@
     EXPECT_FALSE(verified.damage.empty()) << where << ": verify saw nothing";
     EXPECT_TRUE(out.told) << where << ": a key is missing and nothing was told";
   }
-  history.book().compactAll(history.now);
+  history.compactAll();
   EXPECT_EQ(history.ledger.wrongs(history.book(), history.now, mayMiss), "") << where << " after compaction";
   EXPECT_TRUE(history.open()) << where;
   EXPECT_EQ(history.ledger.wrongs(history.book(), history.now, mayMiss), "")
@@ -252,7 +252,7 @@
   EXPECT_EQ(history.book().get("key1", history.now).outcome.code, Outcome::Code::damaged);
   EXPECT_EQ(history.log.size(), 1u);
   EXPECT_EQ(history.book().stats().lostRecords, 1u);
-  history.book().compactAll(history.now);
+  history.compactAll();
   EXPECT_FALSE(history.book().get("key1", history.now).value);
   ASSERT_TRUE(history.open());
   EXPECT_FALSE(history.book().get("key1", history.now).value);
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -221,8 +221,8 @@
   for (int i = 0; i < 100; ++i)
     history.put({{false, named("n", static_cast<std::uint64_t>(i)), std::string(40, 'x'), forever}});
   for (int i = 0; i < 100; ++i) history.put({{true, named("n", static_cast<std::uint64_t>(i)), {}, forever}});
-  history.book().compactAll(history.now);
-  history.book().compactAll(history.now);
+  history.compactAll();
+  history.compactAll();
   EXPECT_LT(platter.used(), 1000u);
   EXPECT_EQ(history.book().stats().indexBytes, 0u) << "nothing on disk could bring them back";
 }
@@ -319,7 +319,7 @@
   ASSERT_TRUE(ended.ok()) << ended.what;
   PosixDisk disk(to);
   Book other(disk, StoreBounds{}, {});
-  ASSERT_TRUE(other.open(UnixTime{milliseconds(1)}, 9).ok());
+  ASSERT_TRUE(other.open(9).ok());
   EXPECT_EQ(other.id(), s->id());
   EXPECT_EQ(other.stats().entries, 300u);
 }
--- a/tests/store_world.h
+++ b/tests/store_world.h
@@ -298,7 +298,7 @@
     if (book_) compactions += book_->stats().compactions;
     disk_ = std::make_unique<ForgettingDisk>(platter_);
     book_ = std::make_unique<Book>(*disk_, bounds_, [this](const std::string& line) { log.push_back(line); });
-    return book_->open(now, 77).ok();
+    return book_->open(77).ok();
   }
   void play(int steps) {
     for (int i = 0; i < steps; ++i) step();
@@ -326,6 +326,12 @@
     for (int i = 0; i < 10000 && book_->tidy(now); ++i) {
     }
   }
+  void compactAll() {
+    std::optional<Outcome> ended;
+    book_->beginCompaction([&](Outcome outcome) { ended = std::move(outcome); });
+    for (int i = 0; i < 10000 && !ended; ++i) book_->tidy(now);
+    EXPECT_TRUE(ended);
+  }
   Book& book() { return *book_; }
   void forget() { book_.reset(); }
 
