--- a/tests/store_crash_test.cpp
+++ b/tests/store_crash_test.cpp
@@ -141,6 +141,7 @@
   history.play(30);
   history.tidyAll();
   platter.everyOpen = 0;
+  ASSERT_TRUE(history.open()) << "a start without descriptors may have failed";
   EXPECT_EQ(history.ledger.wrongs(history.book(), history.now), "");
   history.play(30);
   EXPECT_EQ(history.ledger.wrongs(history.book(), history.now), "");
@@ -149,6 +150,7 @@
 }
 
 TEST(StoreCrash, AFullDiskInACompactionKeepsWhatWasAcknowledgedAndGoesOn) {
+  std::uint64_t refused = 0;
   for (std::uint64_t spare = 0; spare < 3000; spare += 60) {
     Platter platter;
     History history(platter, 9);
@@ -158,6 +160,7 @@
     history.play(40);
     history.tidyAll();
     ASSERT_EQ(history.ledger.wrongs(history.book(), history.now), "") << spare;
+    refused += history.book().stats().failed;
     platter.capacity = ~std::uint64_t{0};
     const std::vector<Write> writes{{false, "key2", "room again", forever}};
     ASSERT_TRUE(history.book().commit(writes, history.now).front().ok()) << spare;
@@ -166,6 +169,7 @@
     goesOn(platter.after(0), history.ledger, history.now, "spare " + std::to_string(spare));
     if (HasFatalFailure()) return;
   }
+  EXPECT_GT(refused, 100u) << "the disk was never full";
 }
 
 TEST(StoreCrash, ASnapshotCutShortAtAnyOperationHarmsNothing) {
@@ -204,6 +208,44 @@
   }
 }
 
+// A write that failed may be found by a start all the same: its file was not cut back, or the cut was
+// forgotten. An erasure that was acknowledged after it holds against that.
+TEST(StoreCrash, AnErasureHoldsAgainstAWriteThatFailedBefore) {
+  for (const bool older : {false, true})
+    for (const bool syncFails : {true, false})
+      for (int choice = 0; choice < 60; ++choice) {
+        Platter platter;
+        History history(platter, 12);
+        ASSERT_TRUE(history.open());
+        history.put({{false, "other", "there", forever}});
+        if (older) history.put({{false, "key1", "older", forever}});
+        const auto next = platter.operations;
+        platter.everyOpen = EMFILE;  // no new segment can be had for a second try
+        if (syncFails) {
+          platter.faults[next + 1] = EIO;  // the sync behind the write; then the cut works
+        } else {
+          platter.faults[next] = -1;  // half of the write, which holds the whole record of key1, ...
+          platter.faults[next + 1] = EIO, platter.faults[next + 2] = EIO;  // no more of it, and no cut
+        }
+        const std::vector<Write> failing{{false, "key1", "failed", forever},
+                                         {false, "key2", std::string(190, 'z'), forever}};
+        ASSERT_FALSE(history.book().commit(failing, history.now).front().ok());
+        for (const auto& write : failing) history.ledger.wrote(write, false);
+        platter.everyOpen = 0;
+        platter.faults.clear();
+        const std::vector<Write> erasing{{true, "key1", {}, forever}};
+        ASSERT_TRUE(history.book().commit(erasing, history.now).front().ok());
+        history.ledger.wrote(erasing[0], true);
+        const auto where = std::string(older ? "older, " : "") + (syncFails ? "sync" : "cut") + ", choice " +
+                           std::to_string(choice);
+        goesOn(platter.after(choice), history.ledger, history.now, where);
+        if (HasFatalFailure()) return;
+        history.tidyAll();
+        goesOn(platter.after(choice), history.ledger, history.now, where + ", compacted");
+        if (HasFatalFailure()) return;
+      }
+}
+
 RC_GTEST_PROP(StoreCrash, AnyHistoryBesideAPlainMap, (std::uint64_t seed)) {
   Platter platter;
   History history(platter, seed);
--- a/tests/store_damage_test.cpp
+++ b/tests/store_damage_test.cpp
@@ -21,6 +21,7 @@
     std::uint64_t offset, bytes;
   };
   std::map<std::string, std::vector<At>> latest;
+  bool all = false;  // erasures, expiries, compactions and several segments were in it
 };
 
 Recorded record(std::uint64_t seed, int steps, bool closed) {
@@ -30,14 +31,18 @@
   history.play(steps);
   if (closed) history.book().close();
   history.ledger.passed(history.now);
-  Recorded out{platter.image(), history.ledger, history.now, {}};
-  const auto manifest = decodeManifest(out.image.at(manifestName)).manifest;
+  const auto stats = history.book().stats();
+  Recorded out{platter.image(), history.ledger, history.now, {}, {}};
+  out.all = history.erased > 0 && history.expired + stats.expired > 0 &&
+            history.compactions + stats.compactions > 0;
+  const auto manifest = decodeManifest(out.image.at(manifestName)).manifest.value();
+  out.all = out.all && manifest.segments.size() >= 3;
   std::map<std::string, Sequence> highest;
   Platter copy = Platter::of(out.image);
   ForgettingDisk disk(copy);
-  for (const auto& listed : manifest->segments) {
+  for (const auto& listed : manifest.segments) {
     const auto name = segmentName(listed.number);
-    Scanner scanner(disk.open(name).file, {FileKind::segment, manifest->store, listed.number});
+    Scanner scanner(disk.open(name).file, {FileKind::segment, manifest.store, listed.number});
     for (auto step = scanner.next(); step.what != Scanner::Step::What::end; step = scanner.next()) {
       EXPECT_EQ(step.what, Scanner::Step::What::record);
       const std::string key(step.record.key);
@@ -98,6 +103,7 @@
 
 TEST_P(StoreDamage, EveryFileCutAtEveryByte) {
   const auto recorded = record(21, 45, GetParam());
+  ASSERT_TRUE(recorded.all);
   std::uint64_t missing = 0, cuts = 0;
   for (const auto& [name, bytes] : recorded.image)
     for (std::size_t at = 0; at < bytes.size(); ++at, ++cuts) {
@@ -115,6 +121,7 @@
 
 TEST_P(StoreDamage, EveryByteFlipped) {
   const auto recorded = record(22, 45, GetParam());
+  ASSERT_TRUE(recorded.all);
   std::uint64_t missing = 0;
   for (const auto& [name, bytes] : recorded.image)
     for (std::size_t at = 0; at < bytes.size(); ++at) {
@@ -258,6 +265,81 @@
   EXPECT_FALSE(history.book().get("key1", history.now).value);
 }
 
+TEST(StoreStrangers, ALossIsToldWithFileOffsetAndBytes) {
+  const auto recorded = record(22, 45, true);
+  const auto& at = recorded.latest.begin()->second.front();
+  auto image = recorded.image;
+  image[at.file][at.offset + recordHeadBytes] ^= 1;
+  image.erase(at.file.substr(0, 10) + ".hint");
+  Platter platter = Platter::of(image);
+  History history(platter, 1);
+  history.now = recorded.now;
+  ASSERT_TRUE(history.open());
+  const auto line = at.file + " at " + std::to_string(at.offset) + ": " + std::to_string(at.bytes) + " bytes";
+  EXPECT_EQ(std::count_if(history.log.begin(), history.log.end(),
+                          [&](const auto& l) { return l.starts_with(line); }),
+            1)
+      << line;
+}
+
+TEST(StoreStrangers, ASweepKeepsTheLatestTimeThatWasSeen) {
+  Platter platter;
+  History history(platter, 1);
+  ASSERT_TRUE(history.open());
+  const auto begin = history.now;
+  const auto in = [&](int ms) { return begin + std::chrono::milliseconds(ms); };
+  history.put({{false, "key1", "long", in(80)}, {false, "key2", "short", in(10)}});
+  history.now = in(100);
+  EXPECT_FALSE(history.book().get("key1", history.now).value);
+  history.now = in(20);  // the clock steps back, and another is seen to expire before anything is written
+  EXPECT_FALSE(history.book().get("key2", history.now).value);
+  history.put({{false, "key3", "carries the sweep", forever}});
+  history.now = begin;
+  ASSERT_TRUE(history.open());
+  EXPECT_FALSE(history.book().get("key1", history.now).value);
+  EXPECT_FALSE(history.book().get("key2", history.now).value);
+}
+
+TEST(StoreStrangers, ASnapshotLetsTheCompactionBeforeItEnd) {
+  Platter platter, target;
+  History history(platter, 1);
+  ASSERT_TRUE(history.open());
+  history.put({{false, "key1", "v", forever}, {false, "key2", "v", forever}});
+  ASSERT_TRUE(history.open());  // its segment is closed by that
+  history.put({{true, "key1", {}, forever}, {true, "key2", {}, forever}});
+  while (history.book().stats().compactions == 0) ASSERT_TRUE(history.book().tidy(history.now));
+  std::optional<Outcome> ended;
+  ASSERT_TRUE(
+      history.book()
+          .beginSnapshot(std::make_unique<ForgettingDisk>(target), [&](Outcome o) { ended = std::move(o); })
+          .ok());
+  while (!ended) ASSERT_TRUE(history.book().tidy(history.now));
+  EXPECT_TRUE(ended->ok());
+  history.compactAll();
+  history.compactAll();
+  EXPECT_EQ(history.book().stats().gone, 0u) << "erasures of what is no longer on disk are kept for ever";
+}
+
+TEST(StoreStrangers, ACompactionThatWasAskedForLeavesRoomForCommits) {
+  Platter platter;
+  History history(platter, 1);
+  ASSERT_TRUE(history.open());
+  // A quarter of it dead: not worth the while until somebody asks.
+  for (std::uint64_t i = 0; i < 50; ++i)
+    history.put({{false, named("n", i < 40 ? i : i * 4 % 40), std::string(40, 'x'), forever}});
+  history.tidyAll();
+  std::optional<Outcome> ended;
+  history.book().beginCompaction([&](Outcome outcome) { ended = std::move(outcome); });
+  std::uint64_t between = 0;
+  for (; !ended && between < 1000; ++between) {
+    history.book().tidy(history.now);
+    history.put({{false, "while", named("v", between), forever}});
+  }
+  ASSERT_TRUE(ended && ended->ok());
+  EXPECT_GT(between, 3u) << "it was done in one step";
+  EXPECT_EQ(history.ledger.wrongs(history.book(), history.now), "");
+}
+
 TEST(StoreStrangers, WhatExpiredStaysSoWhenTheClockStepsBack) {
   Platter platter;
   History history(platter, 1);
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -75,6 +75,18 @@
   EXPECT_EQ(index.bytes(), 0u);
 }
 
+TEST(StoreIndex, ALostRecordTakesThePlaceOfItsAge) {
+  Index index;
+  index.seen("a", Kind::put, Sequence{1}, forever, {SegmentNumber{1}, 40, 60});
+  index.seen("b", Kind::put, Sequence{2}, forever, {SegmentNumber{1}, 100, 60});
+  EXPECT_TRUE(index.lost("a", Sequence{5}, SegmentNumber{2}));
+  index.orderByAge();
+  EXPECT_EQ(index.raiseFloor(Sequence{3}), 1u) << "what is behind it ages out all the same";
+  EXPECT_EQ(index.find("b"), nullptr);
+  ASSERT_NE(index.find("a"), nullptr);
+  EXPECT_EQ(index.find("a")->state, State::lost);
+}
+
 RC_GTEST_PROP(StoreIndex, OrderOfReadingDoesNotMatter, (std::uint32_t seed)) {
   struct Row {
     std::string key;
@@ -296,6 +308,32 @@
   EXPECT_EQ(s->put("k", std::string(2000, 'x'), forever, {}).code, Outcome::Code::tooLong);
 }
 
+TEST_F(StoreOnDisk, WhatIsNeverDeliveredHasABound) {
+  StoreBounds bounds;
+  bounds.queueBytes = 16 << 10, bounds.longestValue = 1 << 10;
+  const auto s = store(bounds);
+  ASSERT_TRUE(s->open(1).ok());
+  std::uint64_t taken = 0, heard = 0;
+  Outcome last;
+  const auto refused = [&](const auto& attempt) {
+    for (int i = 0; i < 4000 && last.ok(); ++i) {
+      last = attempt();
+      if (last.ok())
+        ++taken, std::this_thread::sleep_for(std::chrono::microseconds(200));  // the writer keeps up
+    }
+    return std::exchange(last, {}).code;
+  };
+  EXPECT_EQ(refused([&] { return s->put("key", "value", forever, [&](const Outcome&) { ++heard; }); }),
+            Outcome::Code::queueFull);
+  EXPECT_LE(taken, 64u);
+  s->settle();
+  EXPECT_EQ(heard, taken);
+  EXPECT_EQ(refused([&] { return s->fetch("key", [&](const Got&) { ++heard; }); }), Outcome::Code::queueFull);
+  EXPECT_LE(taken, 64u + 16u) << "a read may bring the longest value";
+  s->settle();
+  EXPECT_EQ(heard, taken);
+}
+
 TEST_F(StoreOnDisk, ASecondOneIsRefusedAndToldWhoHoldsIt) {
   const auto s = store();
   ASSERT_TRUE(s->open(1).ok());
--- a/tests/store_world.h
+++ b/tests/store_world.h
@@ -295,7 +295,7 @@
 
   // False once the disk is dead.
   bool open() {
-    if (book_) compactions += book_->stats().compactions;
+    if (book_) compactions += book_->stats().compactions, expired += book_->stats().expired;
     disk_ = std::make_unique<ForgettingDisk>(platter_);
     book_ = std::make_unique<Book>(*disk_, bounds_, [this](const std::string& line) { log.push_back(line); });
     return book_->open(77).ok();
@@ -314,6 +314,10 @@
     } else if (kind < 19) {
       now += std::chrono::milliseconds(below(chance_, 40));
     } else if (platter_.operations < platter_.crashAt) {
+      if (below(chance_, 3) == 0) {  // what tidies follow carry it on; a start ends it
+        copy_ = Platter();
+        return void(book_->beginSnapshot(std::make_unique<ForgettingDisk>(copy_), {}));
+      }
       if (below(chance_, 2) == 0) book_->close();
       open();
     }
@@ -338,19 +342,22 @@
   UnixTime now{std::chrono::milliseconds(1'000'000)};
   Ledger ledger;
   std::vector<std::string> log;
-  std::uint64_t compactions = 0;  // of the books before the last
+  std::uint64_t compactions = 0, expired = 0;  // of the books before the last
+  std::uint64_t erased = 0;
 
  private:
   Write write() {
     Write out;
     out.key = named("key", below(chance_, 12));
     out.erase = below(chance_, 5) == 0;
+    erased += out.erase;
     if (out.erase) return out;
     out.value = std::to_string(++written_) + ":" + std::string(below(chance_, 90), 'v');
     if (below(chance_, 4) == 0) out.goodUntil = now + std::chrono::milliseconds(1 + below(chance_, 60));
     return out;
   }
 
+  Platter copy_;
   Platter& platter_;
   StoreBounds bounds_;
   Chance chance_;
