A failed write's records stay uncounted: the case is played with the power failing at each step

The test of an erasure after a failed write passed with that part broken, since what it needs (an older record that outlives both) never came about. Expired records are not looked for again in a compaction: expiry marks them, and a copy of one that it has not come to yet does no harm.

--- a/src/store/book.h
+++ b/src/store/book.h
@@ -154,12 +154,12 @@
   bool expire(UnixTime now);
   bool ageOut(std::uint64_t atLeast);
   bool makeAhead();
-  bool compact(UnixTime now, std::uint64_t budget);
+  bool compact(std::uint64_t budget);
   std::optional<SegmentNumber> nextInput();
   bool startJob(SegmentNumber next);
   void compactionEnded(const Outcome& outcome);
-  bool copyStep(std::uint64_t budget, UnixTime now);
-  bool copyRecord(const Record& record, const Where& where, UnixTime now);
+  bool copyStep(std::uint64_t budget);
+  bool copyRecord(const Record& record, const Where& where);
   bool copyLost();
   bool putOut(const Record& record);
   bool flushOutput(bool sync);
--- a/src/store/compaction.cpp
+++ b/src/store/compaction.cpp
@@ -19,7 +19,7 @@
   const auto budget = plan_.step(writersWait);
   if (copying_) return copySnapshot(budget) || expired;
   const bool aged = ageOut(0);
-  return makeAhead() || compact(now, budget) || expired || aged;
+  return makeAhead() || compact(budget) || expired || aged;
 }
 
 bool Book::expire(UnixTime now) {
@@ -58,7 +58,7 @@
   return true;
 }
 
-bool Book::compact(UnixTime now, std::uint64_t budget) {
+bool Book::compact(std::uint64_t budget) {
   if (!job_) {
     const auto next = nextInput();
     if (!next) return compactionEnded({}), false;
@@ -66,7 +66,7 @@
   }
   // Each that syncs is a step of its own, so that a commit waits for one of them at most.
   if (job_->stage == Job::Stage::removing) return removeInput();
-  return job_->stage == Job::Stage::leaving ? leaveStep() : copyStep(budget, now);
+  return job_->stage == Job::Stage::leaving ? leaveStep() : copyStep(budget);
 }
 
 std::optional<SegmentNumber> Book::nextInput() {
@@ -101,7 +101,7 @@
   return false;
 }
 
-bool Book::copyStep(std::uint64_t budget, UnixTime now) {
+bool Book::copyStep(std::uint64_t budget) {
   const auto until = job_->scanner ? job_->scanner->position() + budget : 0;
   while (job_->scanner && job_->scanner->position() < until) {
     const auto step = job_->scanner->next();
@@ -116,7 +116,7 @@
     job_->records.emplace_back(std::string(record.key), record.sequence);
     const Where where{job_->input, static_cast<std::uint32_t>(step.offset),
                       static_cast<std::uint32_t>(step.bytes)};
-    if (!copyRecord(record, where, now)) return false;
+    if (!copyRecord(record, where)) return false;
   }
   if (job_->scanner) return flushOutput(false);
   if (!copyLost() || !flushOutput(true)) return false;
@@ -124,17 +124,12 @@
   return true;
 }
 
-bool Book::copyRecord(const Record& record, const Where& where, UnixTime now) {
+bool Book::copyRecord(const Record& record, const Where& where) {
   bool living = false;
   {
     const std::lock_guard lock(mutex_);
     const Entry* entry = index_.find(record.key);
     if (!entry || entry->sequence != record.sequence || entry->where != where) return true;
-    if (entry->state == State::living && entry->goodUntil <= now) {
-      index_.expire(record.key);
-      ++stats_.expired;
-      sawExpired(now);
-    }
     living = entry->state == State::living;
     // Gone, and nothing else of it on disk: it may be forgotten.
     if (!living && entry->records <= 1) return true;
--- a/tests/store_crash_test.cpp
+++ b/tests/store_crash_test.cpp
@@ -12,6 +12,12 @@
 
 constexpr int steps = 70, choices = 5;
 
+// RAINHOOK_SEEDS asks for a longer search by hand.
+std::uint64_t seeds(std::uint64_t usual) {
+  const char* more = std::getenv("RAINHOOK_SEEDS");
+  return more ? std::strtoull(more, nullptr, 10) : usual;
+}
+
 // Starts on what a crash left, looks, works on, and starts again.
 void goesOn(Platter platter, Ledger ledger, UnixTime now, const std::string& where) {
   History after(platter, 5);
@@ -28,8 +34,7 @@
 }
 
 TEST(StoreCrash, AtEveryOperationWithAnyChoiceOfWhatSurvives) {
-  const auto* more = std::getenv("RAINHOOK_SEEDS");  // for a longer search by hand
-  for (std::uint64_t seed = 1; seed <= (more ? std::strtoull(more, nullptr, 10) : 3); ++seed) {
+  for (std::uint64_t seed = 1; seed <= seeds(3); ++seed) {
     Platter whole;
     History first(whole, seed);
     ASSERT_TRUE(first.open());
@@ -86,27 +91,29 @@
 
 // Each fault once at each operation; the process lives on, and then the power fails.
 TEST(StoreCrash, AFaultAtEveryOperationLosesNothingAcknowledged) {
-  for (const int fault : {EIO, ENOSPC, EMFILE, -1}) {
-    Platter whole;
-    History first(whole, 6);
-    ASSERT_TRUE(first.open());
-    first.play(steps);
-    for (std::uint64_t at = 0; at < whole.operations; ++at) {
-      Platter platter;
-      platter.faults[at] = fault;
-      History history(platter, 6);
-      const auto where = "fault " + std::to_string(fault) + " at " + std::to_string(at);
-      ASSERT_TRUE(history.open()) << where;
-      history.play(steps);
-      ASSERT_EQ(history.ledger.wrongs(history.book(), history.now), "") << where;
-      history.forget();
-      for (const int choice : {0, 2}) {
-        goesOn(platter.after(choice), history.ledger, history.now,
-               where + ", choice " + std::to_string(choice));
-        if (HasFatalFailure()) return;
+  for (std::uint64_t seed = 6; seed < 6 + seeds(1); ++seed)
+    for (const int fault : {EIO, ENOSPC, EMFILE, -1}) {
+      Platter whole;
+      History first(whole, seed);
+      ASSERT_TRUE(first.open());
+      first.play(steps);
+      for (std::uint64_t at = 0; at < whole.operations; ++at) {
+        Platter platter;
+        platter.faults[at] = fault;
+        History history(platter, seed);
+        const auto where =
+            "seed " + std::to_string(seed) + ", fault " + std::to_string(fault) + " at " + std::to_string(at);
+        ASSERT_TRUE(history.open()) << where;
+        history.play(steps);
+        ASSERT_EQ(history.ledger.wrongs(history.book(), history.now), "") << where;
+        history.forget();
+        for (const int choice : {0, 2}) {
+          goesOn(platter.after(choice), history.ledger, history.now,
+                 where + ", choice " + std::to_string(choice));
+          if (HasFatalFailure()) return;
+        }
       }
     }
-  }
 }
 
 TEST(StoreCrash, ADiskWhoseEverySyncFailsAcknowledgesNothing) {
@@ -213,12 +220,16 @@
 TEST(StoreCrash, AnErasureHoldsAgainstAWriteThatFailedBefore) {
   for (const bool older : {false, true})
     for (const bool syncFails : {true, false})
-      for (int choice = 0; choice < 60; ++choice) {
+      for (int choice = 0; choice < 40; ++choice) {
         Platter platter;
         History history(platter, 12);
         ASSERT_TRUE(history.open());
+        // Beside enough that lives to keep its segment from being compacted first.
+        if (older)
+          history.put({{false, "key1", "older", forever},
+                       {false, "keeper", "0123456789abcdefghijklmnopqrstuvwxyz", forever}});
+        ASSERT_TRUE(history.open());  // what is older stands in a segment of its own
         history.put({{false, "other", "there", forever}});
-        if (older) history.put({{false, "key1", "older", forever}});
         const auto next = platter.operations;
         platter.everyOpen = EMFILE;  // no new segment can be had for a second try
         if (syncFails) {
@@ -240,9 +251,16 @@
                            std::to_string(choice);
         goesOn(platter.after(choice), history.ledger, history.now, where);
         if (HasFatalFailure()) return;
-        history.tidyAll();
-        goesOn(platter.after(choice), history.ledger, history.now, where + ", compacted");
-        if (HasFatalFailure()) return;
+        // Whatever is compacted, and whenever the power fails.
+        std::optional<Outcome> ended;
+        history.book().beginCompaction([&](Outcome outcome) { ended = std::move(outcome); });
+        for (int step = 0; step < 200 && !ended; ++step) {
+          history.book().tidy(history.now);
+          goesOn(platter.after(choice % 4), history.ledger, history.now,
+                 where + ", step " + std::to_string(step));
+          if (HasFatalFailure()) return;
+        }
+        ASSERT_TRUE(ended);
       }
 }
 
