--- a/src/store/book.cpp
+++ b/src/store/book.cpp
@@ -225,7 +225,8 @@
 Manifest Book::manifest(bool sealedOnly) const {
   Manifest out{store_, nextNumber_, nextSequence_, index_.floor(), sweeps_, {}};
   for (const auto& [number, segment] : sealed_)
-    out.segments.push_back({number, true, segment.bytes, segment.last});
+    // A distrusted one is listed like one that is still written, so that the next start distrusts it too.
+    out.segments.push_back({number, !segment.distrusted, segment.bytes, segment.last});
   for (const Segment* segment : {active_.get(), output_.get()})
     if (segment && !sealedOnly) out.segments.push_back({segment->number(), false, 0, {}});
   return out;
--- a/src/store/recovery.cpp
+++ b/src/store/recovery.cpp
@@ -199,9 +199,11 @@
   if (ofTheProcess(opened.fault)) return {Outcome::Code::failed, name + ": " + opened.fault.text()};
   const auto* terms = listed(number);
   if (opened.file) {
-    // What a killed process wrote may stand in the cache alone; nothing of it is served before it is on the
-    // disk.
-    if (!(terms && terms->sealed) && opened.file->sync()) sealed.distrusted = true;
+    // What a killed process wrote may stand in the cache alone: it is synced before it is served. That may
+    // succeed after a sync that the process saw fail, and mean nothing, so what was not closed is written
+    // anew as well.
+    const bool failed = !(terms && terms->sealed) && opened.file->sync();
+    sealed.distrusted = failed || (terms && !terms->sealed);
     if (!takeHint(number, hint, opened.file->size())) scan(number, opened.file, hint);
   } else {
     book_.say(fmt::format("{}: {}", name, opened.fault.text()));
--- a/tests/store_crash_test.cpp
+++ b/tests/store_crash_test.cpp
@@ -139,6 +139,25 @@
   goesOn(platter.after(0), history.ledger, history.now, "after the syncs worked again");
 }
 
+// A sync that failed in one process says nothing to the next, whose own sync succeeds and means nothing.
+TEST(StoreCrash, WhatAFailedSyncLeftIsDistrustedByLaterStartsToo) {
+  Platter platter;
+  History history(platter, 13);
+  ASSERT_TRUE(history.open());
+  // Each segment half dead: the second round writes every other key again.
+  for (std::uint64_t i = 0; i < 18; ++i)
+    history.put({{false, named("key", i < 12 ? i : (i - 12) * 2), std::string(40, 'a'), forever}});
+  while (history.book().stats().compactedBytes == 0) ASSERT_TRUE(history.book().tidy(history.now));
+  ASSERT_EQ(history.book().stats().compactions, 0u) << "copies that were not synced, and their input";
+  platter.everySync = EIO;
+  ASSERT_TRUE(history.open());
+  platter.everySync = 0;
+  ASSERT_TRUE(history.open());
+  ASSERT_TRUE(history.open()) << "and by one that knows of it from the manifest alone";
+  history.tidyAll();
+  goesOn(platter.after(0), history.ledger, history.now, "after a start whose syncs failed");
+}
+
 TEST(StoreCrash, WithoutDescriptorsItRefusesAndThenGoesOn) {
   Platter platter;
   History history(platter, 8);
