A turn goes through what came in, not through all that is kept, open or in hand

Lines at fault: decision.cpp Repeats::expire went through every kept mark and path()'s "Due" through every req in hand on each decide(), that is once for each turn of the reactor; table.cpp Marks::expire through all marks ten times a second and Table::drop through all who wait; clients.cpp closeOneIdle through every connection for each one accepted at the limit. Change: due times and marks stand in order of time, waiting reqs by their first, idle connections in order of use. A result that comes when its time is over is no longer kept until the next look.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -9,6 +9,7 @@
 #include <cmath>
 #include <deque>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace rainhook {
@@ -206,15 +207,28 @@
 class Repeats {
  public:
   bool knows(ReqId id) const { return entries_.contains(id); }
-  void keep(ReqId id, Span until) { entries_.insert_or_assign(id, until); }
-  bool drop(ReqId id) { return entries_.erase(id) > 0; }
+  void keep(ReqId id, Span until) {
+    drop(id);
+    entries_.emplace(id, until);
+    ends_.emplace(until, id);
+  }
+  bool drop(ReqId id) {
+    const auto it = entries_.find(id);
+    if (it == entries_.end()) return false;
+    ends_.erase({it->second, id});
+    entries_.erase(it);
+    return true;
+  }
   // Emptied by time: an entry goes when its window has passed. Returns how many went.
   int expire(Span now) {
-    return static_cast<int>(std::erase_if(entries_, [&](const auto& e) { return e.second <= now; }));
+    int went = 0;
+    for (; !ends_.empty() && ends_.begin()->first <= now; ++went) drop(ends_.begin()->second);
+    return went;
   }
 
  private:
   std::map<ReqId, Span> entries_;
+  std::set<std::pair<Span, ReqId>> ends_;  // the same by time: a turn goes through none that stays
 };
 
 // Reqs read and not started. Starts are oldest first, newest first once the hold has stood full a while.
@@ -344,9 +358,11 @@
     out_.clear();
     const double secs = seconds(now - now_);
     now_ = now;
-    pace_.pass(secs, onCore_, calls_.made());
+    pace_.pass(secs, onCores(), calls_.made());
     calls_.pass(secs, pace_.callSlowness());
-    guard_.take(-guard_.keyKb() * repeats_.expire(now));
+    const int forgotten = repeats_.expire(now);
+    guard_.take(-guard_.keyKb() * forgotten);
+    looks_ += static_cast<std::size_t>(forgotten) + happened.size();
     if (!opened_) {
       opened_ = true;
       say(SayHealth{true, true});
@@ -356,6 +372,7 @@
     path(secs);
     return std::move(out_);
   }
+  std::uint64_t looks() const override { return looks_; }
 
  private:
   // What happened, taken into the books.
@@ -370,6 +387,7 @@
     pressure_.read();
     guard_.take(e.heldKb);
     reqs_.insert_or_assign(e.id, req);
+    dues_.emplace(req.due, e.id);
     fresh_.push_back(e.id);
     unread_ += (seconds(std::min(e.unread, terms.clientTimeout)) - unread_) * 0.1;
     leastUnread_ = std::min(leastUnread_, seconds(e.unread));
@@ -428,11 +446,11 @@
   void take(const TimerRang& e) {
     if (e.timer != tick_) return;
     say(SetTimer{tick_, tickEvery});
-    if (e.wantingCore) notRuns_ += (*e.wantingCore - onCore_ - notRuns_) * 0.02;
+    if (e.wantingCore) notRuns_ += (*e.wantingCore - onCores() - notRuns_) * 0.02;
     if (e.connections) trimConnections(*e.connections);
     // Idle cores with work held: told at this moment by the gauge, against what this server has on its cores.
     idle_ = e.cpu && e.wantingCore && *e.cpu < idleBelow && *e.wantingCore < cores_ && !hold_.empty() &&
-            onCore_ >= climber_.limit();
+            onCores() >= climber_.limit();
   }
 
   // Open connections take from the cores, a full table turns callers away and a new one costs work, none of
@@ -491,7 +509,7 @@
     for (const ReqId id : hold_.inOrderOfStart(now_)) {
       Req& req = *find(id);
       if (callsWait && pace_.callsOut(req.read.handler)) continue;
-      if (onCore_ + 1 > limit) {
+      if (onCores() + 1 > limit) {
         climber_.heldBack();
         if (!idle_ || now_ < nextQuick_) break;
         nextQuick_ = now_ + quickEvery;
@@ -550,14 +568,18 @@
     }
 
     // Due: whatever is still owed is answered before its time, running or not.
-    std::vector<ReqId> over;
-    for (const auto& [id, req] : reqs_) {
-      // A run past its target that can earn nothing more and can be stopped only keeps others from the cores.
-      const bool worthless = req.stage == Stage::onCore && now_ > req.target && mayStop(req) &&
-                             handlers_[index(req.read.handler)].lateValue <= 0;
-      const Span last = std::min(req.due, drain_.stop() - tickEvery);
-      if (req.owed && (worthless || last - now_ <= dueMargin)) over.push_back(id);
+    std::set<ReqId> over;
+    for (const auto& [due, id] : dues_) {
+      if (std::min(due, drain_.stop() - tickEvery) - now_ > dueMargin) break;
+      over.insert(id);
     }
+    // A run past its target that can earn nothing more and can be stopped only keeps others from the cores.
+    if (guard_.mayStop())
+      for (const ReqId id : onCore_)
+        if (const Req& req = *find(id); req.owed && now_ > req.target && mayStop(req) &&
+                                        handlers_[index(req.read.handler)].lateValue <= 0)
+          over.insert(id);
+    looks_ += over.size() + (guard_.mayStop() ? onCore_.size() : 0);
     for (const ReqId id : over) giveUp(*find(id), now_ > find(id)->target);
 
     pressure_.feel(secs, std::max(0.0, ahead) / width + unread, mayWait);
@@ -620,6 +642,7 @@
   // No answer is owed any more: what has not run is gone, a run ends by itself unless it can be stopped.
   void letGo(Req& req) {
     req.owed = false;
+    dues_.erase({req.due, req.read.id});
     if (req.stage == Stage::onCore && mayStop(req)) say(Stop{req.read.id});
     if (req.stage >= Stage::onCore) return;
     unkeep(req);
@@ -664,19 +687,22 @@
     const auto it = reqs_.find(id);
     return it == reqs_.end() ? nullptr : &it->second;
   }
+  int onCores() const { return static_cast<int>(onCore_.size()); }
   void dropGone() {
+    looks_ += hold_.size();
     hold_.keepOnly([this](ReqId id) { return find(id) && find(id)->stage == Stage::held; });
   }
   // Counts who is on the cores, and how long each was off them at calls.
   void move(Req& req, Stage to) {
-    if (req.stage == Stage::onCore) --onCore_, req.off = now_;
-    if (to == Stage::onCore) ++onCore_;
+    if (req.stage == Stage::onCore) onCore_.erase(req.read.id), req.off = now_;
+    if (to == Stage::onCore) onCore_.insert(req.read.id);
     if (to == Stage::onCore && req.stage > Stage::onCore) req.offCore += now_ - req.off;
     req.stage = to;
   }
   void gone(ReqId id) {
     const Req& req = *find(id);
-    if (req.stage == Stage::onCore) --onCore_;
+    onCore_.erase(id);
+    dues_.erase({req.due, id});
     const bool running = req.stage >= Stage::onCore;
     if (running) --started_;
     guard_.take(-(running ? guard_.runKb(req.read.heldKb) : req.read.heldKb));
@@ -703,15 +729,18 @@
   Repeats repeats_;
   Pressure pressure_;
   Drain drain_;
-  std::map<ReqId, Req> reqs_;  // a req leaves when its answer and its run have both ended
+  std::map<ReqId, Req> reqs_;              // a req leaves when its answer and its run have both ended
+  std::set<std::pair<Span, ReqId>> dues_;  // those of them that are owed an answer, by due time
+  std::set<ReqId> onCore_;
   Hold hold_;
   Waits waits_;
   std::vector<ReqId> fresh_, wants_;
   std::vector<Action> out_;
   Span now_{}, nextQuick_{}, nextTrim_{}, idleFor_ = 2s;
-  int onCore_ = 0, started_ = 0;
+  int started_ = 0;
   double notRuns_ = 0;  // what wants a core of late and is no run: reading, connecting
   double unread_ = 0, leastUnread_ = 1, said_ = -1;
+  std::uint64_t looks_ = 0;
   bool opened_ = false, idle_ = false;
 };
 
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -188,6 +188,9 @@
   // What happened, in order, all of it at `now`; returns what is to be done, in order.
   // The first call, at the start of the instance, may carry no event.
   virtual std::vector<Action> decide(Span now, std::span<const Event> happened) = 0;
+  // How many entries of its tables decide() has gone through so far: what turns cost, whatever the clock
+  // says.
+  virtual std::uint64_t looks() const = 0;
 };
 
 // The seed is there for decisions by chance; none is left to chance now.
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -105,7 +105,7 @@
   try {
     for (int i = 0; i < 64; ++i) {
       if (!listener_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) return;
-      if (clients_.size() >= mostOpen_ && !closeOneIdle()) {
+      if (clients_.size() >= mostOpen_ && !closeOneIdle(silent_) && !closeOneIdle(spoken_)) {
         log_.line(Matter::clients, "{} connections open, none idle: accepting rests", clients_.size());
         return wantAccepting(false);
       }
@@ -113,7 +113,7 @@
     }
   } catch (const Poco::Exception& error) {
     log_.line(Matter::clients, "can't accept: {}", error.displayText());
-    if (!closeOneIdle()) wantAccepting(false);
+    if (!closeOneIdle(silent_) && !closeOneIdle(spoken_)) wantAccepting(false);
   }
 }
 
@@ -121,6 +121,7 @@
   const ClientId id{++numbered_};
   Client& client = clients_[id];
   client.usedAt = Reactor::Clock::now();
+  client.place = silent_.insert(silent_.end(), id);
   Callbacks callbacks;
   callbacks.came = [this, id](std::string_view bytes) { return came(id, bytes); };
   callbacks.ended = [this, id](Ending how, const std::string& why) { left(id, how, why); };
@@ -149,7 +150,8 @@
     if (!client.begunAt) client.begunAt = now;
     return 0;
   }
-  client.usedAt = now, client.begunAt.reset(), client.spoke = true;
+  client.begunAt.reset();
+  used(client);
   message(id, thrift::readMessage(frame->content));
   return frame->size;
 }
@@ -252,6 +254,7 @@
   if (how == Ending::nonsense) log_.line(Matter::clients, "a connection is closed: {}", why);
   Client client = std::move(it->second);
   clients_.erase(it);
+  (client.spoke ? spoken_ : silent_).erase(client.place);
   client.connection->close();
   for (const auto& [number, req] : client.owed) hearer_.callerLeft(req);
   if (listening_) wantAccepting(true);
@@ -265,7 +268,7 @@
 void Clients::answer(Ticket ticket, std::string_view message) {
   const auto it = clients_.find(ticket.client);
   if (it == clients_.end() || it->second.owed.erase(ticket.number) == 0) return;
-  it->second.usedAt = Reactor::Clock::now();
+  used(it->second);
   it->second.connection->write(message);
 }
 
@@ -331,14 +334,23 @@
 
 bool Clients::full(const Client& client) { return client.connection->waiting() > mostWaiting; }
 
-// A connection on which nothing is open may be closed at any time; first those that have never said anything.
-bool Clients::closeOneIdle() {
-  const auto* longest = static_cast<std::pair<const ClientId, Client>*>(nullptr);
-  const auto order = [](const Client& client) { return std::pair(client.spoke, client.usedAt); };
-  for (auto& entry : clients_)
-    if (quiet(entry.second) && (!longest || order(entry.second) < order(longest->second))) longest = &entry;
-  if (longest) left(longest->first, Ending::closedByPeer, "idle");
-  return longest != nullptr;
+void Clients::used(Client& client) {
+  client.usedAt = Reactor::Clock::now();
+  spoken_.splice(spoken_.end(), client.spoke ? spoken_ : silent_, client.place);
+  client.spoke = true;
+}
+
+// A connection on which nothing is open may be closed at any time; first those that have never said anything,
+// the one used longest ago. Those passed over are in use and go behind the others, so that a herd of new
+// connections does not go through all that are open for each.
+bool Clients::closeOneIdle(Order& order) {
+  for (std::size_t left = order.size(); left > 0; --left) {
+    const ClientId id = order.front();
+    ++looks_;
+    if (quiet(clients_.at(id))) return this->left(id, Ending::closedByPeer, "idle"), true;
+    order.splice(order.end(), order, order.begin());
+  }
+  return false;
 }
 
 // Callers that do not read what they are sent give way, the furthest behind first.
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -5,6 +5,7 @@
 #include <Poco/Net/ServerSocket.h>
 
 #include <cstdint>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -71,14 +72,18 @@
   // No new connection is taken, and every caller is asked to leave once it has its answers.
   void wave();
   std::size_t open() const { return clients_.size(); }
+  // How many connections were gone through so far to make room for others.
+  std::uint64_t looks() const { return looks_; }
 
  private:
+  using Order = std::list<ClientId>;
   struct Client {
     std::shared_ptr<Connection> connection;
     std::map<std::int32_t, ReqId> owed;  // a req leaves when it is answered or its caller has left
     Reactor::Clock::time_point usedAt;
     std::optional<Reactor::Clock::time_point> wavedAt, begunAt;  // begun: a message that is not whole yet
     bool sendsNoMore = false, spoke = false;
+    Order::iterator place;
   };
 
   void acceptable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
@@ -99,7 +104,8 @@
   void readOn(ClientId id);
   static bool quiet(const Client& client);
   static bool full(const Client& client);
-  bool closeOneIdle();
+  void used(Client& client);
+  bool closeOneIdle(Order& order);
   thrift::Fields spoken() const;
 
   static constexpr std::size_t longestFrame = 8 * 1024, mostWaiting = 32 * 1024, mostOwed = 32;
@@ -118,6 +124,8 @@
   Poco::NObserver<Clients, Poco::Net::ReadableNotification> onAccept_{*this, &Clients::acceptable};
   bool listening_ = false, accepting_ = false;
   std::map<ClientId, Client> clients_;  // a client leaves when its connection ends
+  Order silent_, spoken_;  // of them, those that never spoke and the others, used longest ago first
+  std::uint64_t looks_ = 0;
   std::uint32_t numbered_ = 0;
   bool good_ = true;
   std::optional<double> signal_;
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -40,6 +40,7 @@
     auto operator<=>(const Standing&) const = default;
   };
   Standing standing() const;
+  std::uint64_t looks() const { return clients_.looks(); }
   // The notice to leave; the reactor stops once all is answered.
   void leave();
 
--- a/src/server/table.cpp
+++ b/src/server/table.cpp
@@ -23,15 +23,15 @@
   const auto it = inHand_.find(id);
   if (it == inHand_.end()) return;
   names_.erase(it->second.req.name);
-  if (it->second.course == Course::waitingForFirst)
-    std::erase_if(waiting_, [id](const auto& entry) { return entry.second == id; });
+  if (it->second.repeats && it->second.course == Course::waitingForFirst)
+    waiting_.erase({*it->second.repeats, id});
   inHand_.erase(it);
 }
 
 std::vector<ReqId> Table::waitingFor(ReqId first) const {
   std::vector<ReqId> out;
-  const auto [begin, end] = waiting_.equal_range(first);
-  for (auto it = begin; it != end; ++it) out.push_back(it->second);
+  for (auto it = waiting_.lower_bound({first, ReqId{}}); it != waiting_.end() && it->first == first; ++it)
+    out.push_back(it->second);
   return out;
 }
 
@@ -57,24 +57,34 @@
 void Marks::keep(const Key& key, ReqId id, Moment until) {
   if (const auto it = kept_.find(key); it != kept_.end()) {
     if (it->second.holder == id) {
+      unplan(it->second);
       it->second.until = until;
+      ends_.emplace(until, id);
       return;
     }
+    unplan(it->second);
     keys_.erase(it->second.holder);
     dropResult(it->second);
   }
   kept_.insert_or_assign(key, Kept{id, until, {}, End::none, {}});
   keys_.insert_or_assign(id, key);
+  ends_.emplace(until, id);
 }
 
 void Marks::forget(ReqId id) {
   const auto it = keys_.find(id);
   if (it == keys_.end()) return;
   dropResult(kept_.at(it->second));
+  unplan(kept_.at(it->second));
   kept_.erase(it->second);
   keys_.erase(it);
 }
 
+void Marks::unplan(const Kept& kept) {
+  ends_.erase({kept.until, kept.holder});
+  ends_.erase({kept.until + readLate, kept.holder});
+}
+
 void Marks::dropResult(Kept& kept) {
   results_ -= kept.result.size();
   kept.result.clear();
@@ -86,7 +96,7 @@
   Kept& kept = kept_.at(it->second);
   dropResult(kept);
   kept.end = end, kept.endedAt = at;
-  if (results_ + result.size() > mostResults_) {
+  if (at >= kept.until || results_ + result.size() > mostResults_) {
     kept.end = End::errored;
     return;
   }
@@ -95,18 +105,16 @@
 }
 
 void Marks::expire(Moment now) {
-  if (now < nextLook_) return;
-  nextLook_ = now + lookEvery;
-  for (auto it = kept_.begin(); it != kept_.end();) {
-    Kept& kept = it->second;
-    if (kept.until <= now && kept.end == End::done) kept.end = End::errored, dropResult(kept);
-    if (kept.until + readLate <= now) {
-      keys_.erase(kept.holder);
-      dropResult(kept);
-      it = kept_.erase(it);
-    } else {
-      ++it;
-    }
+  while (!ends_.empty() && ends_.begin()->first <= now) {
+    const ReqId id = ends_.begin()->second;
+    ends_.erase(ends_.begin());
+    ++looks_;
+    Kept& kept = kept_.at(keys_.at(id));
+    if (kept.end == End::done) kept.end = End::errored, dropResult(kept);
+    if (kept.until + readLate > now)
+      ends_.emplace(kept.until + readLate, id);
+    else
+      forget(id);
   }
 }
 
--- a/src/server/table.h
+++ b/src/server/table.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,7 +45,7 @@
  private:
   std::map<ReqId, InHand> inHand_;  // a req leaves when its answer and its run have both ended
   std::map<std::string, ReqId> names_;
-  std::multimap<ReqId, ReqId> waiting_;  // by their first
+  std::set<std::pair<ReqId, ReqId>> waiting_;  // by their first
 };
 
 // What is remembered of kept reqs. An entry is forgotten, or goes by time: its result when its time has
@@ -80,17 +81,22 @@
     std::string result;
   };
   const Kept* find(ReqId id) const;
+  std::size_t size() const { return kept_.size(); }
+  // How many entries expire() has gone through so far.
+  std::uint64_t looks() const { return looks_; }
 
  private:
   void dropResult(Kept& kept);
+  void unplan(const Kept& kept);
 
   const std::size_t mostResults_;
   std::size_t results_ = 0;  // bytes
   std::map<Key, Kept> kept_;
   std::map<ReqId, Key> keys_;
-  std::map<Key, ReqId> turn_;  // what was read in this turn
-  Moment nextLook_{};
-  static constexpr Span readLate = std::chrono::seconds(10), lookEvery = std::chrono::milliseconds(100);
+  std::map<Key, ReqId> turn_;                // what was read in this turn
+  std::set<std::pair<Moment, ReqId>> ends_;  // when each is to be looked at next: its time, then its last
+  std::uint64_t looks_ = 0;
+  static constexpr Span readLate = std::chrono::seconds(10);
 };
 
 }  // namespace rainhook::server
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -92,6 +92,37 @@
   EXPECT_GT(odd, 60);
 }
 
+// What a turn goes through is what came in it and what waits held, not what is kept or stands at calls.
+TEST(Turns, CostNoMoreForAllThatIsInHand) {
+  World w;
+  w.machine = {.cores = 8, .memoryKb = 1e6, .runFactor = 4, .keyKb = 1, .crowdPerCore = 100, .crowdSpan = 2s};
+  w.handlers = {{.responseTarget = 20s, .clientTimeout = 30s, .calls = true},
+                {.responseTarget = 20s, .clientTimeout = 30s, .effect = Effect::uniqued, .window = 40s}};
+  w.below = {BelowKind::tier, 0, 5s, 200ms};
+  w.open();
+  const auto through = [&](int handler, auto then) {
+    const ReqId id = w.arrive(handler, 30s);
+    w.pass(0ms);
+    ASSERT_EQ(w.reqs.at(id).where, Where::running);
+    then(id);
+    w.pass(0ms);
+  };
+  const auto looksOfAQuietSecond = [&] {
+    const auto before = w.module->looks();
+    w.pass(1s);
+    return w.module->looks() - before;
+  };
+  const auto empty = looksOfAQuietSecond();
+  for (int i = 0; i < 500; ++i) through(1, [&](ReqId id) { w.end(id); });
+  for (int i = 0; i < 300; ++i) through(0, [&](ReqId id) { w.want(id); });
+  EXPECT_EQ(w.kept.size(), 500u);
+  EXPECT_EQ(w.count(Where::calling), 300);
+  EXPECT_LE(looksOfAQuietSecond(), empty);
+  w.pass(31s);  // each of them is looked at once more, when it is due
+  for (const ReqId id : w.in(Where::calling)) w.end(id, Outcome::stopped);
+  EXPECT_EQ(w.broken, std::vector<std::string>{});
+}
+
 TEST(Hold, IsCutFromItsOldestEnd) {
   World w;
   w.open();
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -253,6 +253,55 @@
   EXPECT_EQ(marks.find(ReqId{2})->result, "eight by");
 }
 
+// A long time of new marks: each is looked at when it is over and not before, and none stays.
+TEST(Marks, AreEmptiedByTimeAndLookedAtOnlyThen) {
+  server::Marks marks(1 << 20);
+  const server::Moment start{};
+  std::size_t most = 0;
+  for (std::uint32_t i = 1; i <= 5000; ++i) {
+    const auto at = start + 10ms * i;
+    marks.expire(at);
+    marks.keep({HandlerId{1}, std::to_string(i), {}}, ReqId{i}, at + 1s);
+    if (i % 3 == 0) marks.forget(ReqId{i});
+    if (i % 3 == 1) marks.ended(ReqId{i}, server::Marks::End::done, at, "result");
+    most = std::max(most, marks.size());
+  }
+  EXPECT_LE(most, 2 * 1100u / 3 + 1);  // a second's and ten more, in which a repeat may be read late
+  EXPECT_EQ(marks.find(ReqId{4801})->end, server::Marks::End::errored);  // its second is over, its key stays
+  EXPECT_EQ(marks.find(ReqId{4999})->result, "result");
+  EXPECT_LE(marks.looks(), 2 * 5000u);
+  marks.expire(start + 1h);
+  EXPECT_EQ(marks.size(), 0u);
+  EXPECT_LE(marks.looks(), 2 * 5000u);
+}
+
+TEST(Marks, AResultThatComesAfterItsTimeIsNotKept) {
+  server::Marks marks(1 << 20);
+  const server::Moment at{};
+  marks.keep({HandlerId{1}, "a", {}}, ReqId{1}, at + 1s);
+  marks.expire(at + 2s);
+  marks.ended(ReqId{1}, server::Marks::End::done, at + 3s, "late");
+  EXPECT_EQ(marks.find(ReqId{1})->result, "");
+}
+
+// One that waited and has left is answered no more; the others still wait for the same first.
+TEST(Table, ThoseThatWaitLeaveOneByOne) {
+  server::Table table;
+  for (std::uint32_t i = 1; i <= 4; ++i) {
+    net::ArrivedReq arrived;
+    arrived.name = std::to_string(i);
+    auto& req = table.add(ReqId{i}, std::move(arrived));
+    if (i == 1) continue;
+    req.course = server::Course::waitingForFirst;
+    req.repeats = ReqId{i == 4 ? 2u : 1u};
+    table.waitFor(*req.repeats, ReqId{i});
+  }
+  EXPECT_EQ(table.waitingFor(ReqId{1}), (std::vector{ReqId{2}, ReqId{3}}));
+  table.drop(ReqId{2});
+  EXPECT_EQ(table.waitingFor(ReqId{1}), std::vector{ReqId{3}});
+  EXPECT_EQ(table.waitingFor(ReqId{2}), std::vector{ReqId{4}});
+}
+
 TEST(ServerEngine, ABrokenLinkLosesAndDoublesNothing) {
   Peers w;
   w.start();
@@ -653,6 +702,33 @@
   EXPECT_EQ(known.answer().what, What::good);
 }
 
+// A herd of balancers that return at once, with all places taken: room is made for each without going through
+// all that is open, and those with a req open stay.
+TEST(ServerClients, RoomForAHerdIsMadeWithoutGoingThroughAllThatIsOpen) {
+  Peers w;
+  w.place.descriptors = 256;  // 144 for balancers
+  w.start();
+  std::vector<Balancer> known;
+  for (int i = 0; i < 140; ++i) {
+    known.push_back(w.balancer());
+    known.back().health();
+    ASSERT_EQ(known.back().answer().what, What::good) << i;
+  }
+  auto busy = w.balancer();
+  busy.ask(1, Balancer::fields("00000000000000a1"));
+  EXPECT_EQ(w.launched(), "00000000000000a1");
+  std::vector<Balancer> herd;
+  for (int i = 0; i < 100; ++i) {
+    herd.push_back(w.balancer());
+    herd.back().health();
+    ASSERT_EQ(herd.back().answer().what, What::good) << i;
+  }
+  EXPECT_TRUE(known.front().endsNow());
+  w.ends("00000000000000a1");
+  EXPECT_EQ(busy.answer().what, What::done);
+  EXPECT_LE(w.looks(), 2 * 100u);
+}
+
 TEST(ServerList, ReportsAtOnceAgainAndAfterTheListWasGone) {
   Peers w;
   w.start();
--- a/tests/world.h
+++ b/tests/world.h
@@ -442,20 +442,21 @@
     std::this_thread::sleep_for(20ms);
   }
   void stop() {
-    reactor_.stop();
-    reactor_.wakeUp();
-    if (thread_.joinable()) thread_.join();
+    stopRunning();
     server_.reset();
   }
   // What the server believes to have in hand, once it stands still.
   server::Server::Standing standing() {
     std::this_thread::sleep_for(100ms);
-    reactor_.stop();
-    reactor_.wakeUp();
-    thread_.join();
+    stopRunning();
     return server_->standing();
   }
   void waitForEnd() { thread_.join(); }
+  // How many connections were gone through to make room; ends the server's thread.
+  std::uint64_t looks() {
+    stopRunning();
+    return server_->looks();
+  }
   Balancer balancer() { return Balancer(Poco::Net::StreamSocket(server_->address())); }
 
   // Takes a new link, and says which notice was read last.
@@ -499,6 +500,11 @@
   std::string file;  // read again on SIGHUP, where it is named
 
  private:
+  void stopRunning() {
+    reactor_.stop();
+    reactor_.wakeUp();
+    if (thread_.joinable()) thread_.join();
+  }
   net::Reactor reactor_;
   net::Log log_;
   std::unique_ptr<server::Server> server_;
