A connection is set up before it is entered; words and options in any order

Cause: Clients::take entered a connection first and set its socket up then. With epoll refused, POCO also throws as the interest is taken back, in a destructor ("terminate called after throwing Poco::IOException").

Change: set up first, enter then; Connection::close takes back what the system never took without a throw.

Words that stand alone are named now, so they may stand anywhere; tested for store, and every later command uses the same reader.

--- a/src/commands/commands.h
+++ b/src/commands/commands.h
@@ -17,9 +17,11 @@
   using std::runtime_error::runtime_error;
 };
 
-// Reads the words by these options; no word may stand alone. Throws Misuse.
+// Reads the words by these options, in any order; words that stand alone are, in turn, the values of the
+// options named in `alone`, and no more may stand. Throws Misuse.
 boost::program_options::variables_map read(const Words& words,
-                                           const boost::program_options::options_description& options);
+                                           const boost::program_options::options_description& options,
+                                           const std::vector<const char*>& alone = {});
 // The value of a variable of the environment, empty where it is absent.
 std::string fromEnvironment(const char* name);
 
--- a/src/commands/store.cpp
+++ b/src/commands/store.cpp
@@ -54,6 +54,7 @@
                     "the store's folder; made by put and load where it is absent")(
       "options", po::value<std::string>()->default_value(fromEnvironment("RAINHOOK_OPTIONS")),
       "our own settings, for the store's bounds, and for its folder where --dir is absent")(
+      "command", po::value<std::string>(), "what to do, as the first word")(
       "key", po::value<std::string>(), "the key, also as the word behind the command")(
       "for", po::value<std::uint64_t>(), "put: seconds that it is good for; for ever where absent")(
       "lines", po::bool_switch(), "put: many, a line each")("by-age", po::bool_switch(),
@@ -320,15 +321,13 @@
 }  // namespace
 
 int store(const Words& words) {
-  if (words.empty() || words.front() == "--help" || words.front() == "help") {
+  const auto given = read(words, described(), {"command", "key"});
+  const auto command = given.count("command") ? given["command"].as<std::string>() : std::string();
+  if (words.empty() || given.count("help") || command == "help") {
     std::cout << usage << described();
     return words.empty() ? misused : fine;
   }
-  const auto& command = words.front();
-  Words rest(words.begin() + 1, words.end());
-  if (!rest.empty() && !rest.front().starts_with("--")) rest.front() = "--key=" + rest.front();
-  const auto given = read(rest, described());
-  if (given.count("help")) return store({"--help"});
+  if (command.empty()) throw Misuse("store: no command is given");
   Session session(given);
   try {
     if (command == "put") return put(session, given["lines"].as<bool>());
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,10 +12,13 @@
 
 namespace po = boost::program_options;
 
-po::variables_map read(const Words& words, const po::options_description& options) {
+po::variables_map read(const Words& words, const po::options_description& options,
+                       const std::vector<const char*>& alone) {
+  po::positional_options_description inTurn;
+  for (const char* name : alone) inTurn.add(name, 1);
   po::variables_map given;
   try {
-    po::store(po::command_line_parser(words).options(options).positional({}).run(), given);
+    po::store(po::command_line_parser(words).options(options).positional(inTurn).run(), given);
     po::notify(given);
   } catch (const po::error& error) {
     throw Misuse(error.what());
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -117,11 +117,9 @@
   }
 }
 
+// Set up first, entered then: where the system refuses the set-up, nothing of it stays.
 void Clients::take(Poco::Net::StreamSocket socket) {
   const ClientId id{++numbered_};
-  Client& client = clients_[id];
-  client.usedAt = Reactor::Clock::now();
-  client.place = silent_.insert(silent_.end(), id);
   Callbacks callbacks;
   callbacks.came = [this, id](std::string_view bytes) { return came(id, bytes); };
   callbacks.ended = [this, id](Ending how, const std::string& why) { left(id, how, why); };
@@ -134,7 +132,11 @@
   };
   socket.setSendBufferSize(kernelHolds);
   socket.setReceiveBufferSize(kernelHolds);
-  client.connection = Connection::accepted(reactor_, pool_, socket, std::move(callbacks));
+  auto connection = Connection::accepted(reactor_, pool_, socket, std::move(callbacks));
+  Client& client = clients_[id];
+  client.connection = std::move(connection);
+  client.usedAt = Reactor::Clock::now();
+  client.place = silent_.insert(silent_.end(), id);
 }
 
 std::size_t Clients::came(ClientId id, std::string_view bytes) {
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -42,8 +42,8 @@
   state_ = state;
   socket_.setBlocking(false);
   socket_.setNoDelay(true);
+  watched_ = true;  // said first: where the system refuses, POCO has entered the handler all the same
   reactor_.addEventHandler(socket_, onError_);
-  watched_ = true;
   if (state == State::open)
     wantReading(true);
   else
@@ -191,9 +191,16 @@
 void Connection::close() {
   late_.cancel();
   if (state_ != State::closed) {
-    if (std::exchange(reading_, false)) reactor_.removeEventHandler(socket_, onRead_);
-    if (std::exchange(writing_, false)) reactor_.removeEventHandler(socket_, onWrite_);
-    if (watched_) reactor_.removeEventHandler(socket_, onError_);
+    // POCO throws where the system never took the interest that it has entered; it is out of its books then.
+    const auto takeBack = [this](bool& entered, const Poco::AbstractObserver& observer) {
+      try {
+        if (std::exchange(entered, false)) reactor_.removeEventHandler(socket_, observer);
+      } catch (const Poco::Exception&) {
+      }
+    };
+    takeBack(reading_, onRead_);
+    takeBack(writing_, onWrite_);
+    takeBack(watched_, onError_);
     socket_.close();
   }
   state_ = State::closed;
--- a/tests/store_command_test.cpp
+++ b/tests/store_command_test.cpp
@@ -75,6 +75,10 @@
   const auto got = run({"get", "k", "--dir", dir_});
   EXPECT_EQ(got.status, 0);
   EXPECT_EQ(got.out, value);
+  for (const auto& words : std::vector<std::vector<std::string>>{
+           {"get", "--dir", dir_, "k"}, {"--dir", dir_, "get", "k"}, {"--dir=" + dir_, "--key", "k", "get"}})
+    EXPECT_EQ(run(words).out, value);
+  EXPECT_EQ(run({"get", "k", "more", "--dir", dir_}).status, 2);
   const auto absent = run({"get", "other", "--dir", dir_});
   EXPECT_EQ(absent.status, 1);
   EXPECT_EQ(absent.out, "");
