Membership: SWIM and Lifeguard with our own parts, witness and members, a rig of processes

Need: each instance has to know who is there, through stops, losses and one-sided cuts. docs/membership.md weighs the ways and says what is ours: own stops, deafness, `heard` against what others miss, two witnesses of two zones, a silent zone as one event, bounded verdicts, a view in doubt.

Change: src/membership decides without I/O; net/members and net/seal carry it over UDP and TCP under libsodium tags, in msgpack; `rainhook witness` and `rainhook members`; settings `membership` and `log`. Logs go to spdlog, as text as before or as JSON lines. Off unless set: deploy/rainhook.yaml switches nothing on. libsodium, spdlog, msgpack-cxx and pcg-cpp are declared Debian packages: tags, logs, encoding and chance are theirs.

Not there yet: serve as a member, the store behind it, the share of the dependency, measurements, chaos.

--- a/src/commands/commands.h
+++ b/src/commands/commands.h
@@ -28,5 +28,7 @@
 int serve(const Words& words);
 int check(const Words& words);
 int store(const Words& words);
+int witness(const Words& words);
+int members(const Words& words);
 
 }  // namespace rainhook::commands
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -38,21 +38,29 @@
   serve    serve until told to leave (SIGTERM or SIGINT)
   check    say what a configuration and our own settings hold, or what is wrong with them
   store    look into a store, check it, change it
+  witness  be a member among the servers without serving: an observer
+  members  who is there, as a running instance sees it
   version  say which version this is
   help     this page, or with a command's name that command's options
 )";
 
+using Does = int (*)(const Words&);
+Does commandOf(const std::string& word) {
+  const std::pair<const char*, Does> all[] = {
+      {"serve", serve}, {"check", check}, {"store", store}, {"witness", witness}, {"members", members}};
+  for (const auto& [name, does] : all)
+    if (word == name) return does;
+  return nullptr;
+}
+
 int run(const Words& words) {
   const std::string command = words.empty() ? "" : words.front();
   const Words rest(words.empty() ? words.end() : words.begin() + 1, words.end());
   if (command == "help" || command == "--help" || command == "-h") {
-    if (rest.empty() || (rest.front() != "serve" && rest.front() != "check" && rest.front() != "store"))
-      return fmt::print("{}", usage), fine;
+    if (rest.empty() || !commandOf(rest.front())) return fmt::print("{}", usage), fine;
     return run({rest.front(), "--help"});
   }
-  if (command == "serve") return serve(rest);
-  if (command == "check") return check(rest);
-  if (command == "store") return store(rest);
+  if (const auto does = commandOf(command)) return does(rest);
   if (command != "version")
     throw Misuse(command.empty() ? "no command is given" : "unknown command '" + command + "'");
   fmt::print("rainhook {}\n", RAINHOOK_VERSION);
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -1,4 +1,5 @@
-// The log: one line a matter on standard error, never waiting for whoever reads it.
+// The log, over spdlog: lines on standard error as text or as JSON, never waiting for whoever reads them. A
+// matter has few lines a second; what was left out is told with the next second's first.
 #pragma once
 
 #include <fmt/format.h>
@@ -6,31 +7,56 @@
 #include <array>
 #include <chrono>
 #include <cstddef>
+#include <initializer_list>
+#include <memory>
 #include <string>
+#include <string_view>
+#include <variant>
+
+namespace spdlog {
+class logger;
+}
 
 namespace rainhook::net {
 
-enum class Matter { start, drain, engine, servers, list, clients, count };
+enum class Matter { start, drain, engine, servers, list, clients, membership, count };
 
 class Log {
  public:
+  enum class Form { text, json };
+  // A figure of an event.
+  struct Field {
+    std::string_view name;
+    std::variant<std::string, std::int64_t, double, bool> value;
+  };
+
+  // `who` stands in every line of the JSON form.
+  explicit Log(Form form = Form::text, std::string who = {});
+  ~Log();
+
   template <typename... Args>
   void line(Matter matter, fmt::format_string<Args...> text, Args&&... args) {
-    if (mayWrite(matter)) write(fmt::format(text, std::forward<Args>(args)...));
+    if (mayWrite(matter)) write(matter, "line", fmt::format(text, std::forward<Args>(args)...), {});
+  }
+  // What a reader may look for by its name and its fields; in text they follow the name.
+  void event(Matter matter, std::string_view name, std::initializer_list<Field> fields) {
+    if (mayWrite(matter)) write(matter, name, {}, fields);
   }
 
  private:
   using Clock = std::chrono::steady_clock;
-  // A second's lines of one matter are few; what was left out is told with the next second's first.
   struct Allowance {
     Clock::time_point since{};
     int lines = 0, left = 0;
   };
-  static constexpr int linesASecond = 5;
 
   bool mayWrite(Matter matter);
-  void write(std::string line);
+  void write(Matter matter, std::string_view event, const std::string& text,
+             std::initializer_list<Field> fields);
 
+  const Form form_;
+  const std::string who_;
+  std::unique_ptr<spdlog::logger> logger_;
   std::array<Allowance, static_cast<std::size_t>(Matter::count)> allowances_;
 };
 
--- /dev/null
+++ b/src/net/members.h
@@ -0,0 +1,97 @@
+// The other instances: datagrams for probes and rumours, connections for the full state and for those who ask
+// what we see, all under the keys of the seal. What is decided is decided in membership; here it is sent and
+// heard.
+//
+// Bounds: datagrams of 1,400 bytes, incoming connections mostAsked, outgoing mostAsking, each within
+// connectionLasts and mostState bytes. What does not verify is dropped and counted, never answered.
+#pragma once
+
+#include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/ServerSocket.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "membership/membership.h"
+#include "membership/place.h"
+#include "net/connection.h"
+#include "net/log.h"
+#include "net/reactor.h"
+#include "net/seal.h"
+
+namespace rainhook::net {
+
+class Members {
+ public:
+  using Changed = std::function<void(const membership::Change&)>;
+  // `chance` is a number drawn at the start of this process.
+  Members(Reactor& reactor, BufferPool& pool, Log& log, membership::MembersPlace place,
+          membership::Incarnation from, std::uint64_t chance, Changed changed);
+  ~Members();
+
+  // Binds its address and joins; throws Poco::Exception where that can't be had.
+  void open();
+  void say(const membership::Digest& digest) { core_.say(now(), digest); }
+  void leave();
+  const membership::Membership& core() const { return core_; }
+  bool doubtful() const { return core_.doubtful(now()); }
+
+ private:
+  struct Talk {
+    std::shared_ptr<Connection> connection;
+    std::string bytes;  // of a message that is not whole yet
+    Reactor::Timer late;
+  };
+  using Talks =
+      std::map<std::uint64_t, Talk>;  // a talk leaves when it is answered, breaks or is over its time
+
+  static membership::Span now();
+  void readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
+  void acceptable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
+  void heard(std::string_view bytes, std::uint64_t talk);
+  void asked(std::string_view bytes, std::uint64_t talk);
+  void carry(const membership::Membership::Out& out, std::uint64_t talk);
+  void turn();
+  void set();
+  Callbacks talking(std::uint64_t number);
+  Talk& enter(std::uint64_t number);
+  std::size_t came(std::uint64_t number, std::string_view bytes);
+  void end(std::uint64_t number);
+  std::optional<Connection::Address> whereIs(const membership::MemberName& to,
+                                             const membership::Address& address) const;
+  std::string told(const std::string& what, const std::string& name) const;
+
+  static constexpr std::size_t mostTalks = 24, readsATurn = 256;
+  static constexpr Reactor::Wait connectionLasts = std::chrono::seconds(5);
+
+  Reactor& reactor_;
+  BufferPool& pool_;
+  Log& log_;
+  const membership::MembersPlace place_;
+  membership::Membership core_;
+  Seal seal_;
+  const Changed changed_;
+  Poco::Net::DatagramSocket datagrams_;
+  Poco::Net::ServerSocket listener_;
+  Poco::NObserver<Members, Poco::Net::ReadableNotification> onRead_{*this, &Members::readable},
+      onAccept_{*this, &Members::acceptable};
+  Talks talks_;
+  std::uint64_t numbered_ = 0;
+  Reactor::Timer next_;
+  bool open_ = false;
+  struct Counts {
+    std::uint64_t datagrams = 0, spoilt = 0, sent = 0, unsent = 0, turnedAway = 0;
+  } counts_;
+};
+
+// An address without a name look-up; nothing where it is none.
+std::optional<Poco::Net::SocketAddress> literal(const std::string& text);
+
+// What a message between instances begins with, behind the seal.
+inline constexpr char forMembers = 'M', question = 'Q', answerTo = 'R';
+// The bytes of a message on a connection: its length, then itself.
+std::string framed(std::string_view sealed);
+
+}  // namespace rainhook::net
--- a/src/options/options.h
+++ b/src/options/options.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "membership/place.h"
 #include "options/section.h"
 #include "store/bounds.h"
 
@@ -18,8 +19,16 @@
   bool operator==(const StorePlace&) const = default;
 };
 
+struct LogPlace {
+  bool json = false;  // lines of JSON instead of text
+
+  bool operator==(const LogPlace&) const = default;
+};
+
 struct Options {
   std::optional<StorePlace> store;
+  std::optional<LogPlace> log;
+  std::optional<membership::MembersPlace> membership;
 
   bool operator==(const Options&) const = default;
 };
--- a/src/options/section.cpp
+++ b/src/options/section.cpp
@@ -46,7 +46,7 @@
   int line = node_.Mark().line;
   for (const auto& pair : node_)
     if (pair.first.IsScalar() && pair.first.Scalar() == key) line = pair.first.Mark().line;
-  throw OptionsError(fmt::format("{}:{}: {}: {}", file_, line + 1, named(key), what));
+  throw OptionsError(fmt::format("{}:{}: {}: {}", file_, line + 1, path(key), what));
 }
 
 bool Section::has(const std::string& key) {
@@ -56,7 +56,7 @@
 
 Section Section::section(const std::string& key) {
   if (!has(key)) fault(key, "is missing");
-  return {std::as_const(node_)[key], file_, named(key)};
+  return {std::as_const(node_)[key], file_, path(key)};
 }
 
 YAML::Node Section::plain(const std::string& key) {
@@ -112,6 +112,54 @@
   return *number << shift;
 }
 
+std::chrono::nanoseconds Section::span(const std::string& key, std::chrono::nanoseconds absent,
+                                       std::chrono::nanoseconds least, std::chrono::nanoseconds most) {
+  using std::chrono::milliseconds;
+  const auto value = plain(key);
+  if (!value.IsDefined()) return absent;
+  std::string_view text = value.Scalar();
+  milliseconds unit(0);
+  constexpr std::pair<std::string_view, milliseconds> units[] = {
+      {"ms", milliseconds(1)}, {"s", milliseconds(1000)}, {"m", milliseconds(60000)}};
+  for (const auto& [name, is] : units)
+    if (unit.count() == 0 && text.ends_with(name)) unit = is, text.remove_suffix(name.size());
+  const auto number = digits(text);
+  if (unit.count() == 0 || !number || *number > 1'000'000'000 || unit * *number < least ||
+      unit * *number > most)
+    fault(key, fmt::format("'{}' is no span from {} ms to {} ms, such as 250ms or 1s", value.Scalar(),
+                           std::chrono::duration_cast<milliseconds>(least).count(),
+                           std::chrono::duration_cast<milliseconds>(most).count()));
+  return unit * *number;
+}
+
+std::vector<std::string> Section::texts(const std::string& key) {
+  if (!has(key)) return {};
+  const YAML::Node list = std::as_const(node_)[key];
+  if (!list.IsSequence()) fault(key, "is no list");
+  std::vector<std::string> out;
+  for (const auto& one : list) {
+    if (!one.IsScalar() || one.Scalar().empty()) fault(key, "holds what is no plain value");
+    for (const auto& before : out)
+      if (before == one.Scalar()) fault(key, fmt::format("names '{}' twice", before));
+    out.push_back(one.Scalar());
+  }
+  return out;
+}
+
+std::map<std::string, std::string> Section::named(const std::string& key, std::size_t most) {
+  if (!has(key)) return {};
+  const YAML::Node map = std::as_const(node_)[key];
+  if (!map.IsMap()) fault(key, "holds no names");
+  std::map<std::string, std::string> out;
+  for (const auto& pair : map) {
+    if (!pair.first.IsScalar() || !pair.second.IsScalar()) fault(key, "holds what is no plain value");
+    if (!out.emplace(pair.first.Scalar(), pair.second.Scalar()).second)
+      fault(key, fmt::format("names '{}' twice", pair.first.Scalar()));
+  }
+  if (out.size() > most) fault(key, fmt::format("names more than {}", most));
+  return out;
+}
+
 void Section::end() const {
   for (const auto& pair : node_)
     if (!asked_.contains(pair.first.Scalar())) fault(pair.first.Scalar(), "is no known key");
--- a/src/options/section.h
+++ b/src/options/section.h
@@ -4,10 +4,13 @@
 
 #include <yaml-cpp/yaml.h>
 
+#include <chrono>
 #include <cstdint>
+#include <map>
 #include <set>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 namespace rainhook::options {
 
@@ -28,13 +31,20 @@
   std::uint64_t count(const std::string& key, std::uint64_t absent, std::uint64_t least, std::uint64_t most);
   // A count of bytes: digits, then nothing or one of kB, MB, GB (powers of 1024).
   std::uint64_t bytes(const std::string& key, std::uint64_t absent, std::uint64_t least, std::uint64_t most);
+  // A span: digits and one of ms, s, m.
+  std::chrono::nanoseconds span(const std::string& key, std::chrono::nanoseconds absent,
+                                std::chrono::nanoseconds least, std::chrono::nanoseconds most);
+  // Plain values, none of them twice; empty where absent.
+  std::vector<std::string> texts(const std::string& key);
+  // Plain values by their names; empty where absent.
+  std::map<std::string, std::string> named(const std::string& key, std::size_t most);
   // Every key that was not asked for is a fault.
   void end() const;
   [[noreturn]] void fault(const std::string& key, const std::string& what) const;
 
  private:
   YAML::Node plain(const std::string& key);  // the scalar there, or an undefined node
-  std::string named(const std::string& key) const { return path_.empty() ? key : path_ + "." + key; }
+  std::string path(const std::string& key) const { return path_.empty() ? key : path_ + "." + key; }
 
   YAML::Node node_;
   std::string file_, path_;
--- /dev/null
+++ b/tests/fleet/fleet.h
@@ -0,0 +1,106 @@
+// Several processes of the program with relays between them, their histories, and the invariants that every
+// history has to keep. docs/fleet-tests.md tells how a test is written.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "fleet/process.h"
+#include "fleet/relays.h"
+
+namespace rainhook::fleet {
+
+using std::chrono::milliseconds;
+
+// What a process said, a line of its log in the JSON form.
+struct Seen {
+  std::int64_t at = 0;   // steady time, one clock for all processes of a machine
+  std::size_t life = 0;  // of the viewer: which of its processes
+  std::string event, about, state, zone, why;
+  std::uint64_t incarnation = 0;
+};
+
+struct History {
+  std::vector<Seen> all;
+  std::map<std::string, std::string> now;  // the state of each other, as seen last
+};
+
+// What the script did and when, for the invariants.
+struct Done {
+  std::int64_t at = 0;
+  std::string what;
+  std::size_t who = 0;
+};
+
+class Fleet {
+ public:
+  // So many witnesses in so many zones, one probe in `every` each. Started by start().
+  Fleet(std::size_t count, std::size_t zones, std::uint64_t seed, milliseconds every = milliseconds(200));
+  ~Fleet();
+
+  static std::string name(std::size_t i) { return "m" + std::to_string(i); }
+  std::string zone(std::size_t i) const { return "z" + std::to_string(i % zones_); }
+  std::size_t size() const { return addresses_.size(); }
+  milliseconds every() const { return every_; }
+  const std::string& folder() const { return folder_; }
+  const std::string& address(std::size_t i) const { return addresses_[i]; }
+  std::string options(std::size_t i) const { return folder_ + "/" + name(i) + ".yaml"; }
+  Relays& relays() { return relays_; }
+
+  void start(std::size_t i);
+  void startAll();
+  void kill(std::size_t i);
+  void stop(std::size_t i);
+  void wake(std::size_t i);
+  void terminate(std::size_t i);
+  bool up(std::size_t i) const { return processes_[i] != nullptr; }
+  Process& process(std::size_t i) { return *processes_[i]; }
+  // Cuts the links from and to, one way.
+  void cut(const std::function<bool(std::size_t, std::size_t)>& is);
+  void heal();
+  // Writes the settings of one anew, with more lines of its section.
+  void write(std::size_t i, const std::string& more = "", const std::string& key = "key");
+  // Another address for one that is down.
+  void move(std::size_t i);
+
+  // The histories as they are now.
+  const History& history(std::size_t i);
+  std::string state(std::size_t by, std::size_t of);
+  // All that are up see all that are up as alive, and nobody else as alive or suspect.
+  bool agreed();
+  // Waits, with a wide bound, until it holds.
+  bool until(const std::function<bool()>& holds, milliseconds most = milliseconds(60000));
+  void pass(milliseconds span) const { std::this_thread::sleep_for(span); }
+  // What the command prints, and its status.
+  std::pair<int, std::string> command(const std::vector<std::string>& words) const;
+
+  std::size_t verdictsOn(std::size_t of, std::int64_t from = 0);
+  std::size_t verdicts(std::int64_t from = 0);
+  static std::int64_t clock();
+  // A line for each breach of what must hold on every history; empty where all is well.
+  std::vector<std::string> breaches();
+
+ private:
+  void did(const std::string& what, std::size_t who) { done_.push_back({clock(), what, who}); }
+
+  const std::size_t zones_;
+  const milliseconds every_;
+  std::string folder_;
+  Relays relays_;
+  std::vector<std::string> addresses_;
+  std::vector<std::map<std::size_t, std::string>> reach_;
+  std::vector<std::unique_ptr<Process>> processes_;
+  std::vector<std::size_t> lives_;
+  std::vector<History> histories_;
+  std::vector<std::streamoff> read_;
+  std::vector<Done> done_;
+};
+
+// On one history alone, so that the check itself can be checked.
+std::vector<std::string> breachesOf(const std::string& viewer, const std::vector<Seen>& history);
+
+}  // namespace rainhook::fleet
--- /dev/null
+++ b/tests/fleet/fleet_test.cpp
@@ -0,0 +1,343 @@
+// Membership among processes: what must hold in all of their histories whatever is done to them and to their
+// links.
+#include "fleet/fleet.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <atomic>
+#include <fstream>
+
+namespace rainhook::fleet {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A fleet that has come together; what must hold on every history is looked at as it ends.
+class Together : public Fleet {
+ public:
+  Together(std::size_t count, std::size_t zones, std::uint64_t seed, milliseconds every = 200ms)
+      : Fleet(count, zones, seed, every) {
+    startAll();
+    EXPECT_TRUE(until([&] { return agreed(); }));
+    from = clock();
+  }
+  ~Together() {
+    for (const auto& breach : breaches()) ADD_FAILURE() << breach;
+  }
+  void comesTogether() {
+    EXPECT_TRUE(until([&] { return agreed(); }));
+  }
+  // So many periods, in which things may go wrong.
+  void periods(int count) const { pass(every() * count); }
+  std::size_t said(std::size_t by, const std::string& event, std::int64_t since) {
+    const auto& all = history(by).all;
+    return static_cast<std::size_t>(std::count_if(
+        all.begin(), all.end(), [&](const Seen& s) { return s.at >= since && s.event == event; }));
+  }
+  std::int64_t from = 0;
+};
+
+TEST(FleetCheck, ComplainsOfWhatMustNotBe) {
+  const auto seen = [](const char* event, const char* state, std::uint64_t incarnation) {
+    Seen out;
+    out.event = event, out.about = "m1", out.state = state, out.incarnation = incarnation;
+    return out;
+  };
+  EXPECT_TRUE(
+      breachesOf("m0", {seen("state", "alive", 2), seen("state", "dead", 2), seen("state", "alive", 3)})
+          .empty());
+  EXPECT_EQ(breachesOf("m0", {seen("state", "alive", 2), seen("state", "suspect", 1)}).size(), 1u);
+  EXPECT_EQ(breachesOf("m0", {seen("state", "left", 2), seen("state", "dead", 2)}).size(), 1u);
+  EXPECT_TRUE(
+      breachesOf("m0", {seen("state", "alive", 2), seen("line", "", 0), seen("state", "alive", 1)}).empty());
+}
+
+TEST(Fleet, AKilledOneIsDeadInAllViewsWithinTwentyPeriodsAndNobodyElse) {
+  Together w(5, 3, 1);
+  w.kill(1);
+  EXPECT_TRUE(w.until([&] { return w.agreed(); }, w.every() * 20 + 5s));
+  EXPECT_EQ(w.verdicts(w.from), w.verdictsOn(1, w.from));
+}
+
+TEST(Fleet, AWholeZoneIsOneEvent) {
+  Together w(6, 3, 2);
+  w.kill(1), w.kill(4);
+  w.comesTogether();
+  EXPECT_EQ(w.verdicts(w.from), w.verdictsOn(1, w.from) + w.verdictsOn(4, w.from));
+  for (const std::size_t by : {0u, 2u, 3u, 5u}) EXPECT_LE(w.said(by, "zone-silent", w.from), 1u);
+  std::size_t said = 0;
+  for (const std::size_t by : {0u, 2u, 3u, 5u}) said += w.said(by, "zone-silent", w.from);
+  EXPECT_GE(said, 1u);
+}
+
+TEST(Fleet, TheLastOneBuriesNobodyAndSaysThatItDoubts) {
+  Together w(5, 3, 3);
+  for (std::size_t i = 1; i < 5; ++i) w.kill(i);
+  EXPECT_TRUE(w.until([&] { return w.said(0, "doubtful", w.from) > 0; }));
+  w.periods(30);
+  EXPECT_EQ(w.verdicts(w.from), 0u);
+}
+
+TEST(Fleet, ARestartAtOnceIsNoDeath) {
+  Together w(5, 3, 4);
+  w.kill(2), w.start(2);
+  // It has gone past what was said of its earlier life.
+  EXPECT_TRUE(w.until([&] {
+    const auto& all = w.history(0).all;
+    return w.agreed() && std::any_of(all.begin(), all.end(),
+                                     [](const Seen& s) { return s.about == "m2" && s.incarnation >= 2; });
+  }));
+  EXPECT_EQ(w.verdicts(w.from), 0u);
+}
+
+TEST(Fleet, ANameComesBackAtAnotherAddress) {
+  Together w(5, 3, 5);
+  w.kill(3), w.move(3), w.start(3);
+  EXPECT_TRUE(w.until([&] { return w.agreed() && w.said(0, "moved", w.from) > 0; }));
+  w.periods(10);
+  EXPECT_TRUE(w.until([&] { return w.agreed(); }, 5s));
+}
+
+TEST(Fleet, ASecondInstanceUnderAHeldNameIsRefused) {
+  Together w(4, 3, 6);
+  // The same name and key from another folder of settings, at another address.
+  const auto file = w.folder() + "/second.yaml";
+  std::ifstream in(w.options(1));
+  std::string text{std::istreambuf_iterator<char>(in), {}};
+  const auto at = text.find(w.address(1));
+  const auto host = w.address(1).substr(0, w.address(1).rfind(':'));
+  text.replace(at, w.address(1).size(),
+               host.substr(0, host.rfind('.')) + ".99" + w.address(1).substr(w.address(1).rfind(':')));
+  std::ofstream(file) << text;
+  const auto [status, said] = w.command({"witness", "--options", file});
+  EXPECT_EQ(status, 1);
+  EXPECT_NE(said.find("the name m1 is held by the living instance at " + w.address(1)), std::string::npos)
+      << said;
+  w.periods(10);
+  EXPECT_TRUE(w.agreed());
+  EXPECT_EQ(w.verdicts(w.from), 0u);
+}
+
+struct Stops {
+  std::vector<std::size_t> who;
+  std::chrono::milliseconds span;
+  const char* name;
+};
+class FleetStops : public testing::TestWithParam<Stops> {};
+
+// Whoever was stopped judges nobody when it wakes; the others may have buried it meanwhile, but see that it
+// lives.
+TEST_P(FleetStops, TheStoppedBuryNobody) {
+  Together w(6, 3, 7);
+  const auto& stops = GetParam();
+  for (const auto i : stops.who) w.stop(i);
+  w.pass(stops.span);
+  const auto woken = Fleet::clock();
+  for (const auto i : stops.who) w.wake(i);
+  w.comesTogether();
+  w.periods(10);
+  EXPECT_TRUE(w.until([&] { return w.agreed(); }, 10s));
+  for (const auto i : stops.who) {
+    for (const auto& seen : w.history(i).all)
+      EXPECT_FALSE(seen.at >= woken && seen.event == "state" && seen.state == "dead" &&
+                   seen.why == "nobody reaches it")
+          << Fleet::name(i) << " of " << seen.about;
+    EXPECT_TRUE(stops.span < 1s || w.said(i, "paused", woken) > 0);
+  }
+}
+INSTANTIATE_TEST_SUITE_P(Of, FleetStops,
+                         testing::Values(Stops{{1}, 500ms, "OneForHalfASecond"},
+                                         Stops{{1}, 3s, "OneForThree"}, Stops{{1, 3}, 3s, "AThirdForThree"},
+                                         Stops{{1, 2, 3, 4, 5}, 500ms, "AllButOneForHalf"},
+                                         Stops{{1, 2, 3, 4, 5}, 3s, "AllButOneForThree"},
+                                         Stops{{2, 5}, 30s, "AThirdForThirty"}),
+                         [](const auto& info) { return info.param.name; });
+
+struct Cuts {
+  std::function<bool(std::size_t, std::size_t)> is;
+  const char* name;
+};
+class FleetCuts : public testing::TestWithParam<Cuts> {};
+
+// While some way leads to a member, nobody buries it; after the cut all views agree.
+TEST_P(FleetCuts, WhoIsHeardIsNotBuried) {
+  Together w(5, 3, 8);
+  w.cut(GetParam().is);
+  w.periods(30);
+  EXPECT_EQ(w.verdicts(w.from), 0u);
+  w.heal();
+  w.comesTogether();
+}
+INSTANTIATE_TEST_SUITE_P(
+    Of, FleetCuts,
+    testing::Values(Cuts{[](auto a, auto b) { return a == 1 && b == 2; }, "OneLinkOneWay"},
+                    Cuts{[](auto a, auto b) { return a + b == 3 && a * b == 2; }, "OneLinkBothWays"},
+                    Cuts{[](auto, auto b) { return b == 3; }, "AllIntoOne"}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(Fleet, OneWhomNobodyHearsIsBuriedAndIsBackOnceItIsHeard) {
+  Together w(5, 3, 9);
+  w.cut([](auto a, auto) { return a == 3; });
+  EXPECT_TRUE(w.until([&] {
+    return w.state(0, 3) == "dead" && w.state(1, 3) == "dead" && w.state(2, 3) == "dead" &&
+           w.state(4, 3) == "dead";
+  }));
+  w.heal();
+  w.comesTogether();
+  EXPECT_EQ(w.verdicts(w.from), w.verdictsOn(3, w.from));
+}
+
+TEST(Fleet, ThirtyInAHundredLostBuriesNobody) {
+  Together w(5, 3, 10);
+  Fault fault;
+  fault.loss = 0.3, fault.doubled = 0.1, fault.reordered = 0.2;
+  w.relays().setAll(fault);
+  w.periods(30);
+  EXPECT_EQ(w.verdicts(w.from), 0u);
+  w.heal();
+  w.comesTogether();
+}
+
+TEST(Fleet, TwoSecondsOfDelayOneWayBuryNobody) {
+  Together w(5, 3, 11, 1s);  // ten periods of the others' would be as good as a death
+  Fault fault;
+  fault.delay = 2s;
+  for (std::size_t to = 0; to < 5; ++to)
+    if (to != 1) w.relays().set(1, to, fault);
+  w.pass(15s);
+  EXPECT_EQ(w.verdicts(w.from), 0u);
+  w.heal();
+  w.comesTogether();
+}
+
+class FleetSplits : public testing::TestWithParam<std::size_t> {};
+
+// Longer than a verdict takes; one restarts meanwhile and one joins. Full states may hang: connections are
+// taken by the links and nothing passes.
+TEST_P(FleetSplits, ThePartsFindTogether) {
+  const std::size_t parts = GetParam();
+  Together w(6, 3, 12);
+  w.kill(5);
+  w.comesTogether();
+  w.cut([&](auto a, auto b) { return a % parts != b % parts; });
+  w.periods(30);
+  w.kill(4), w.start(4);
+  w.start(5);
+  w.periods(10);
+  w.heal();
+  const auto healed = std::chrono::steady_clock::now();
+  w.comesTogether();
+  RecordProperty(
+      "healed_ms",
+      static_cast<int>(
+          std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - healed).count()));
+}
+INSTANTIATE_TEST_SUITE_P(In, FleetSplits, testing::Values(2, 3),
+                         [](const auto& info) { return info.param == 2 ? "Halves" : "Thirds"; });
+
+TEST(Fleet, WhoLeavesHasLeftAlsoInASplit) {
+  Together w(6, 3, 13);
+  w.terminate(4);
+  EXPECT_TRUE(w.until([&] {
+    return std::all_of(std::begin({0u, 1u, 2u, 3u, 5u}), std::end({0u, 1u, 2u, 3u, 5u}),
+                       [&](auto by) { return w.state(by, 4) == "left"; });
+  }));
+  w.cut([&](auto a, auto b) { return a % 2 != b % 2; });
+  w.terminate(3);  // only its half hears of it
+  w.periods(30);
+  w.heal();
+  w.comesTogether();
+  EXPECT_EQ(w.verdictsOn(4, w.from), 0u);
+}
+
+// Datagrams under another key, replayed ones, spoilt ones and nonsense, as fast as they go.
+TEST(Fleet, AFloodOfWhatDoesNotVerifyChangesNothing) {
+  Together w(4, 2, 14);
+  Fault fault;
+  fault.spoilt = 0.2, fault.doubled = 0.5;
+  w.relays().setAll(fault);
+  const int out = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  const auto colon = w.address(1).rfind(':');
+  at.sin_port = htons(static_cast<std::uint16_t>(std::stoi(w.address(1).substr(colon + 1))));
+  ::inet_pton(AF_INET, w.address(1).substr(0, colon).c_str(), &at.sin_addr);
+  std::string nonsense = "RHM1" + std::string(200, 'x');
+  for (const auto end = std::chrono::steady_clock::now() + 3s; std::chrono::steady_clock::now() < end;)
+    for (int i = 0; i < 100; ++i)
+      ::sendto(out, nonsense.data(), nonsense.size(), 0, reinterpret_cast<const sockaddr*>(&at), sizeof at);
+  ::close(out);
+  w.heal();
+  w.comesTogether();
+  EXPECT_EQ(w.verdicts(w.from), 0u);
+  w.write(0, "", "other");  // from now on its settings name another key
+  EXPECT_EQ(w.command({"members", "--options", w.options(0), "--at", w.address(1)}).first, 1);
+}
+
+TEST(Fleet, ASlowMachineBuriesNobody) {
+  Together w(5, 3, 15);
+  std::atomic<bool> over{false};
+  std::vector<std::thread> busy;
+  for (unsigned i = 0; i < 3 * std::thread::hardware_concurrency(); ++i)
+    busy.emplace_back([&] {
+      while (!over) {
+      }
+    });
+  w.periods(30);
+  over = true;
+  for (auto& thread : busy) thread.join();
+  EXPECT_EQ(w.verdicts(w.from), 0u);
+  w.comesTogether();
+}
+
+TEST(Fleet, TwentyFourJoinAtOnce) {
+  Together w(24, 3, 16);
+  EXPECT_EQ(w.verdicts(0), 0u);
+}
+
+TEST(Fleet, TheSeedThatIsGoneIsPassedOver) {
+  Fleet w(4, 2, 17);
+  w.write(3, "  seeds: [\"127.0.0.1:1\", \"" + w.address(1) + "\"]\n");
+  std::ifstream in(w.options(3));
+  std::string text{std::istreambuf_iterator<char>(in), {}}, line;
+  const auto first = text.find("  seeds:");
+  text.erase(first, text.find('\n', first) - first + 1);
+  std::ofstream(w.options(3)) << text;
+  for (const std::size_t i : {0u, 1u, 2u}) w.start(i);
+  EXPECT_TRUE(w.until([&] { return w.agreed(); }));
+  w.kill(0);
+  w.start(3);
+  EXPECT_TRUE(w.until([&] { return w.agreed(); }));
+}
+
+TEST(Fleet, TheCommandTellsWhoIsThereAndWhy) {
+  Together w(3, 3, 18);
+  const auto [status, said] = w.command({"members", "--json", "--options", w.options(0)});
+  ASSERT_EQ(status, 0) << said;
+  const auto rows = nlohmann::json::parse(said);
+  ASSERT_EQ(rows.size(), 3u);
+  for (const auto& row : rows) {
+    EXPECT_EQ(row.at("state"), "alive");
+    EXPECT_EQ(row.at("reachable"), true);
+    EXPECT_EQ(row.at("phase"), "observer");
+  }
+  w.kill(2);
+  EXPECT_TRUE(w.until([&] { return w.state(0, 2) == "suspect" || w.state(0, 2) == "dead"; }));
+  // Words and options in any order.
+  for (const auto& words : std::vector<std::vector<std::string>>{
+           {"members", "explain", "m2", "--at", w.address(0), "--options", w.options(1)},
+           {"members", "--options", w.options(1), "explain", "--at", w.address(0), "m2"}}) {
+    const auto [fine, lines] = w.command(words);
+    EXPECT_EQ(fine, 0);
+    EXPECT_NE(lines.find("probes of ours in a row"), std::string::npos) << lines;
+  }
+  EXPECT_EQ(w.command({"members", "explain", "m9", "--options", w.options(0)}).first, 2);
+  EXPECT_EQ(w.command({"members", "--options", w.options(0), "--at", "127.0.0.1:1"}).first, 1);
+}
+
+}  // namespace
+}  // namespace rainhook::fleet
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,305 @@
+// Membership in simulated time: what must hold whatever the links and the stops of others do.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+#include "membership_world.h"
+
+namespace rainhook::membership {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int seeds = 20;
+
+// A fleet of so many that has come together.
+World fleet(std::size_t count, std::size_t zones, int seed, ProbeTerms terms = {}) {
+  World w(count, zones, static_cast<std::uint64_t>(seed), terms);
+  w.startAll();
+  EXPECT_TRUE(w.until(60s, [&] { return w.agreed(); })) << "seed " << seed;
+  return w;
+}
+
+TEST(Membership, AKilledOneIsDeadInAllViewsAndNobodyElse) {
+  for (int seed = 1; seed <= seeds; ++seed)
+    for (const std::size_t count : {3u, 5u, 9u, 50u}) {
+      World w = fleet(count, 3, seed);
+      w.kill(1);
+      EXPECT_TRUE(w.until(60s, [&] { return w.agreed(); })) << count << " members, seed " << seed;
+      EXPECT_EQ(w.verdicts(), w.verdictsOn(1));
+      EXPECT_EQ(w.check(), "");
+    }
+}
+
+TEST(Membership, TheLastOneOfTwoBuriesNobody) {
+  World w = fleet(2, 2, 1);
+  w.kill(1);
+  w.run(300s);
+  EXPECT_EQ(w.seen(0, 1), State::suspect);  // it may as well be the link
+  EXPECT_TRUE(w.nodes[0].member->doubtful(w.now));
+}
+
+TEST(Membership, AWholeZoneIsOneEventAndIsBuriedOnceTwoOtherZonesSaySo) {
+  for (int seed = 1; seed <= seeds; ++seed) {
+    World w = fleet(12, 3, seed);
+    const Span killed = w.now;
+    for (std::size_t i = 0; i < 12; i += 3) w.kill(i);
+    EXPECT_TRUE(w.until(180s, [&] { return w.agreed(); })) << "seed " << seed;
+    for (const auto& node : w.nodes) {
+      if (!node.member) continue;
+      EXPECT_EQ(std::count_if(node.changes.begin(), node.changes.end(),
+                              [&](const auto& c) {
+                                return c.first >= killed && c.second.what == Change::What::zoneSilent;
+                              }),
+                1)
+          << "seed " << seed;
+    }
+  }
+}
+
+TEST(Membership, AllButOneAreNotBuriedByTheOne) {
+  World w = fleet(8, 3, 1);
+  for (std::size_t i = 1; i < 8; ++i) w.kill(i);
+  w.run(300s);
+  EXPECT_EQ(w.verdicts(), 0u);
+  EXPECT_TRUE(w.nodes[0].member->doubtful(w.now));
+}
+
+TEST(Membership, StopsOfAnyLengthBuryNobodyInTheViewOfTheStopped) {
+  for (int seed = 1; seed <= seeds; ++seed)
+    for (const Span stop : {500ms, 3000ms, 30000ms}) {
+      World w = fleet(9, 3, seed);
+      const Span from = w.now;
+      for (std::size_t i = 1; i < 9; ++i) w.pause(i, stop);  // all but one
+      w.run(stop + 20s);
+      EXPECT_TRUE(w.until(30s, [&] { return w.agreed(); })) << "seed " << seed;
+      for (std::size_t i = 0; i < 9; ++i)
+        EXPECT_EQ(w.verdictsOn(i, from), 0u) << "seed " << seed << " member " << i;
+    }
+}
+
+TEST(Membership, AStoppedThirdComesBackInAllViewsAndBuriesNobodyItself) {
+  for (int seed = 1; seed <= seeds; ++seed) {
+    World w = fleet(9, 3, seed);
+    const Span from = w.now;
+    for (std::size_t i = 0; i < 9; i += 3) w.pause(i, 30s);
+    w.run(30s);
+    EXPECT_TRUE(w.until(20s, [&] { return w.agreed(); })) << "seed " << seed;
+    for (std::size_t i = 1; i < 9; i += i % 3 == 2 ? 2 : 1)
+      EXPECT_EQ(w.verdictsOn(i, from), 0u) << "seed " << seed;
+  }
+}
+
+TEST(Membership, ThirtyInAHundredLostBuriesNobody) {
+  for (int seed = 1; seed <= seeds; ++seed) {
+    World w = fleet(9, 3, seed);
+    w.link = [](auto, auto) { return World::Link{0.3, {}}; };
+    w.run(120s);
+    EXPECT_EQ(w.verdicts(), 0u) << "seed " << seed;
+    w.link = [](auto, auto) { return World::Link{}; };
+    EXPECT_TRUE(w.until(30s, [&] { return w.agreed(); }));
+  }
+}
+
+// One link one way; A and B from each other; all into one member; all out of one member.
+TEST(Membership, OneSidedCutsBuryNobodyWhoIsHeard) {
+  using Cut = std::function<bool(std::size_t, std::size_t)>;
+  const Cut cuts[] = {[](auto from, auto to) { return from == 0 && to == 1; },
+                      [](auto from, auto to) { return (from == 0 && to == 1) || (from == 1 && to == 0); },
+                      [](auto, auto to) { return to == 2; }};
+  for (const auto& cut : cuts)
+    for (int seed = 1; seed <= seeds; ++seed)
+      for (const std::size_t count : {3u, 5u, 9u}) {
+        World w = fleet(count, 3, seed);
+        w.link = [&](auto from, auto to) { return World::Link{cut(from, to) ? 1.0 : 0.0, {}}; };
+        w.run(120s);
+        EXPECT_EQ(w.verdicts(), 0u) << count << " members, seed " << seed << " cut " << &cut - cuts;
+        w.link = [](auto, auto) { return World::Link{}; };
+        EXPECT_TRUE(w.until(20s, [&] { return w.agreed(); }))
+            << count << " members, seed " << seed << " cut " << &cut - cuts;
+        EXPECT_EQ(w.check(), "");
+      }
+}
+
+TEST(Membership, WhoLivesButDoesNotAnswerHereIsUnreachableHereAlone) {
+  World w = fleet(5, 3, 1);
+  w.link = [](auto from, auto to) { return World::Link{from + to == 1 ? 1.0 : 0.0, {}}; };
+  EXPECT_TRUE(w.until(60s, [&] { return !w.nodes[0].member->members().at(World::name(1)).reached(); }));
+  EXPECT_EQ(w.seen(0, 1), State::alive);
+  for (std::size_t by = 2; by < 5; ++by)
+    EXPECT_TRUE(w.nodes[by].member->members().at(World::name(1)).reached());
+  w.link = [](auto, auto) { return World::Link{}; };
+  EXPECT_TRUE(w.until(30s, [&] { return w.nodes[0].member->members().at(World::name(1)).reached(); }));
+}
+
+TEST(Membership, OneWhomNobodyHearsIsBuriedAndComesBack) {
+  for (int seed = 1; seed <= seeds; ++seed) {
+    World w = fleet(9, 3, seed);
+    w.link = [](auto from, auto) { return World::Link{from == 2 ? 1.0 : 0.0, {}}; };
+    w.run(90s);
+    for (std::size_t by = 0; by < 9; ++by)
+      EXPECT_EQ(w.seen(by, 2), by == 2 ? std::nullopt : std::optional(State::dead))
+          << "seed " << seed << " by " << by;
+    w.link = [](auto, auto) { return World::Link{}; };
+    EXPECT_TRUE(w.until(20s, [&] { return w.agreed(); })) << "seed " << seed;
+  }
+}
+
+TEST(Membership, HalvesAndThirdsFindTogetherWithinTenPeriods) {
+  for (int seed = 1; seed <= seeds; ++seed)
+    for (const std::size_t parts : {2u, 3u})
+      for (const bool byZone : {true, false}) {
+        World w = fleet(12, 3, seed);
+        const auto part = [&](std::size_t i) { return byZone ? i % 3 % parts : i / (12 / parts); };
+        w.link = [&](auto from, auto to) { return World::Link{part(from) == part(to) ? 0.0 : 1.0, {}}; };
+        w.run(90s);
+        w.kill(5), w.start(5, 2);  // meanwhile one restarts
+        w.run(20s);
+        w.link = [](auto, auto) { return World::Link{}; };
+        EXPECT_TRUE(w.until(10s, [&] { return w.agreed(); }))
+            << parts << " parts, seed " << seed << (byZone ? " by zone" : "");
+      }
+}
+
+TEST(Membership, ARestartUnderTheSameNameIsNoDeathAndTheIncarnationGoesOn) {
+  for (int seed = 1; seed <= seeds; ++seed) {
+    World w = fleet(5, 3, seed);
+    w.kill(1), w.start(1);
+    EXPECT_TRUE(w.until(20s, [&] { return w.agreed(); })) << "seed " << seed;
+    EXPECT_EQ(w.verdicts(), 0u);
+    EXPECT_GT(w.nodes[1].member->self().incarnation, Incarnation{1});
+    EXPECT_EQ(w.check(), "");
+  }
+}
+
+TEST(Membership, OneWhoLeavesIsNeverCalledDead) {
+  for (int seed = 1; seed <= seeds; ++seed) {
+    World w = fleet(9, 3, seed);
+    w.leave(4);
+    w.run(1s);
+    w.kill(4);
+    w.run(60s);
+    for (std::size_t by = 0; by < 9; ++by)
+      EXPECT_EQ(by == 4 ? State::left : w.seen(by, 4), State::left) << "seed " << seed;
+    EXPECT_EQ(w.verdicts(), 0u);
+  }
+}
+
+TEST(Membership, TwoSecondsOfDelayOneWayBuryNobody) {
+  for (int seed = 1; seed <= seeds; ++seed) {
+    World w = fleet(5, 3, seed);
+    w.link = [](auto from, auto) { return World::Link{0, from == 1 ? Span(2s) : Span{}}; };
+    w.run(120s);
+    EXPECT_EQ(w.verdicts(), 0u) << "seed " << seed;
+  }
+}
+
+TEST(Membership, TwoHundredJoinWithinASecond) {
+  World w(200, 3, 1);
+  for (std::size_t i = 0; i < 200; ++i) w.start(i), w.run(5ms);
+  EXPECT_TRUE(w.until(60s, [&] { return w.agreed(); }));
+  EXPECT_EQ(w.verdicts(), 0u);
+  EXPECT_EQ(w.check(), "");
+}
+
+// Faults by chance; after the last one all views agree, and nobody who lived and was heard was ever buried
+// for long.
+TEST(Membership, AfterFaultsByChanceAllViewsAgree) {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    pcg32 chance(seed);
+    const std::size_t count = 4 + chance(8);
+    World w = fleet(count, 1 + chance(3), static_cast<int>(seed));
+    for (int i = 0; i < 6; ++i) {
+      const std::size_t a = chance(static_cast<std::uint32_t>(count)),
+                        b = chance(static_cast<std::uint32_t>(count));
+      switch (chance(5)) {
+        case 0:
+          if (a != 0 && w.up(a)) w.kill(a);
+          break;
+        case 1:
+          if (!w.up(a)) w.start(a);
+          break;
+        case 2:
+          if (w.up(a)) w.pause(a, std::chrono::milliseconds(chance(20000)));
+          break;
+        case 3:
+          w.link = [a, b](auto from, auto to) { return World::Link{from == a && to == b ? 1.0 : 0.1, {}}; };
+          break;
+        default:
+          w.link = [a](auto from, auto to) { return World::Link{(from < a) == (to < a) ? 0.0 : 1.0, {}}; };
+      }
+      w.run(std::chrono::milliseconds(chance(30000)));
+    }
+    w.link = [](auto, auto) { return World::Link{}; };
+    for (std::size_t i = 0; i < count; ++i)
+      if (!w.up(i)) w.start(i, i == 0 ? 1 : 0);
+    w.run(20s);
+    EXPECT_TRUE(w.until(60s, [&] { return w.agreed(); })) << "seed " << seed;
+    EXPECT_EQ(w.check(), "") << "seed " << seed;
+  }
+}
+
+TEST(Membership, ASecondInstanceUnderOneNameIsRefusedAndTheFirstStays) {
+  World w = fleet(5, 3, 1);
+  Membership second({World::name(1), {"n9:1"}, {"z1"}, {"r"}, Boot{7}, Incarnation{1}}, {World::address(0)},
+                    {}, 1);
+  Membership::Out out;
+  second.open(w.now, out);
+  const auto talk = [&](std::size_t with, const std::string& bytes, bool toSecond) {
+    Membership::Out got;
+    toSecond ? second.hear(w.now, *unpacked(bytes), got)
+             : w.nodes[with].member->hear(w.now, *unpacked(bytes), got);
+    return got;
+  };
+  ASSERT_EQ(out.sends.size(), 1u);
+  const auto state = talk(0, out.sends[0].bytes, false);
+  ASSERT_EQ(state.sends.size(), 1u);
+  const auto asks = talk(0, state.sends[0].bytes, true);  // finds its name held, and asks there
+  ASSERT_EQ(asks.sends.size(), 1u);
+  EXPECT_EQ(asks.sends[0].address, World::address(1));
+  EXPECT_FALSE(second.joined());
+  const auto lives = talk(1, asks.sends[0].bytes, false);
+  ASSERT_EQ(lives.sends.size(), 1u);
+  EXPECT_EQ(lives.sends[0].address.text, "n9:1");
+  talk(1, lives.sends[0].bytes, true);
+  EXPECT_TRUE(second.refused());
+  w.run(30s);
+  EXPECT_TRUE(w.agreed());
+}
+
+RC_GTEST_PROP(MembershipWire, TakesSpoiledBytesAndWhatItWrote, (std::string name, std::uint64_t number)) {
+  Message message;
+  message.from.name.text = name.substr(0, longestWord) + "x";
+  if (message.from.name.text.size() > longestWord) message.from.name.text.pop_back();
+  message.nonce = Nonce{number};
+  message.rumours.push_back({Rumour::Says::suspect, message.from, {{{"a"}, {"z"}}}});
+  message.digests.push_back({{"b"}, Incarnation{2}, {}});
+  message.unheard.push_back({"c"});
+  auto bytes = packed(message, mostDatagram);
+  const auto back = unpacked(bytes);
+  RC_ASSERT(back.has_value());
+  RC_ASSERT(back->from == message.from && back->rumours == message.rumours && back->nonce == message.nonce);
+  for (std::size_t cut = 0; cut < bytes.size(); ++cut)
+    RC_ASSERT(!unpacked(std::string_view(bytes).substr(0, cut)));
+  bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
+  unpacked(bytes);
+}
+
+TEST(MembershipWire, AFullFleetsRumoursFitIntoADatagram) {
+  Message message;
+  message.from.name.text = "x";
+  for (int i = 0; i < 500; ++i)
+    message.rumours.push_back(
+        {Rumour::Says::alive,
+         {{"member" + std::to_string(i)}, {"127.0.0.1:7000"}, {"zone"}, {"region"}, {}, {}},
+         {}});
+  std::size_t taken = 0;
+  const auto bytes = packed(message, mostDatagram, &taken);
+  EXPECT_LE(bytes.size(), mostDatagram);
+  EXPECT_GT(taken, 10u);
+  EXPECT_EQ(unpacked(bytes)->rumours.size(), taken);
+}
+
+}  // namespace
+}  // namespace rainhook::membership
