Servers as members: digests, the share of the dependency through splits, stand-ins and chaos

Need: a view that nobody uses proves nothing. Each server divides its stated part of the dependency by who may be calling, and all together stay within it through cuts (src/membership/share, pure). The fleet that one has to be most of shrinks only on a side that has most; who lost it for a lease, was stopped, or comes new is counted first.

Change: server/presence says the digest and takes the share; the module hears it as CallShare, which only caps, and tells its limit. stand-ins of engine, next tier and open-loop caller (src/standins), chaos and a measurement.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PACKAGES := $(BUILD_PACKAGES) $(TEST_PACKAGES) $(LINT_PACKAGES)
 SOURCES := $(shell git ls-files 'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h' 'bench/*.cpp')
 
-.PHONY: build test test-plain test-sanitized fuzz-store measure-store lint run packages clean
+.PHONY: build test test-plain test-sanitized fuzz-store measure-store measure-membership chaos lint run packages clean
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release && cmake --build build -j$$(nproc)
@@ -30,6 +30,18 @@
 	cmake -B build-measure -DCMAKE_BUILD_TYPE=Release -DRAINHOOK_MEASURE=ON && cmake --build build-measure -j$$(nproc) --target store_measure
 	build-measure/store_measure $(MEASURE_IN)
 
+# Membership against its baselines, simulated and with sixteen processes; some minutes, not in CI.
+measure-membership:
+	cmake -B build-test-plain -DCMAKE_BUILD_TYPE=Release -DRAINHOOK_TESTS=ON && cmake --build build-test-plain -j$$(nproc) --target rainhook_membership_measure
+	build-test-plain/tests/rainhook_membership_measure
+
+# Faults by chance against 8 to 16 processes; not in CI.
+MINUTES ?= 10
+SEED ?= 1
+chaos:
+	cmake -B build-test-plain -DCMAKE_BUILD_TYPE=Release -DRAINHOOK_TESTS=ON && cmake --build build-test-plain -j$$(nproc) --target rainhook_chaos
+	build-test-plain/tests/rainhook_chaos $(MINUTES) $(SEED)
+
 lint:
 	clang-format --dry-run --Werror $(SOURCES)
 	cmake -B build -DCMAKE_BUILD_TYPE=Release -DCMAKE_EXPORT_COMPILE_COMMANDS=ON
--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -7,12 +7,14 @@
 #include <cstdio>
 #include <iostream>
 #include <optional>
+#include <random>
 
 #include "commands/commands.h"
 #include "facts/place.h"
 #include "net/log.h"
 #include "net/reactor.h"
 #include "options/options.h"
+#include "server/presence.h"
 #include "server/server.h"
 
 namespace rainhook::commands {
@@ -42,20 +44,29 @@
   const auto given = read(words, options);
   if (given.count("help")) return page("serve", options);
   const auto file = given["config"].as<std::string>();
-  net::Log log;
   signal(SIGPIPE, SIG_IGN);
   net::Reactor reactor;
   std::optional<server::Server> server;  // a signal that comes before it is there waits in the reactor
-  reactor.onSignals({SIGTERM, SIGINT, SIGHUP},
-                    [&](int signal) { signal == SIGHUP ? server->reloadFrom(file) : server->leave(); });
+  std::optional<server::Presence> presence;
+  reactor.onSignals({SIGTERM, SIGINT, SIGHUP}, [&](int signal) {
+    if (signal == SIGHUP) return server->reloadFrom(file);
+    server->leave();
+    if (presence) presence->leave();
+  });
   const auto own = options::readOptionsFile(given["options"].as<std::string>());
   const auto configured = readConfigurationFile(file);
+  net::Log log(own.log && own.log->json ? net::Log::Form::json : net::Log::Form::text, configured.place.name);
   for (const auto& line : options::switchedOn(own)) log.line(net::Matter::start, "{}", line);
   server.emplace(reactor, log, configured);
+  if (own.membership)
+    presence.emplace(reactor, log, *own.membership, *server, configured.facts.fleet.servers,
+                     (std::uint64_t{std::random_device{}()} << 32) | std::random_device{}());
+  std::string at = configured.place.listen;
   try {
     server->open();
+    if (presence) at = own.membership->listen.text, presence->open();
   } catch (const Poco::Exception& error) {
-    fmt::print(stderr, "rainhook: can't listen at {}: {}\n", configured.place.listen, error.displayText());
+    fmt::print(stderr, "rainhook: can't listen at {}: {}\n", at, error.displayText());
     return cannotServe;
   }
   reactor.run();
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -167,7 +167,10 @@
 // short before the bucket holds more than the margin left under the stated share.
 class Calls {
  public:
-  explicit Calls(const Below& below) : b_(below) {}
+  explicit Calls(const Below& below) : b_(below), stated_(below.callShare) {}
+
+  // A share that shrinks leaves the calls in hand to end; none is made before there is room again.
+  void allow(double part) { b_.callShare = stated_ * std::clamp(part, 0.0, 1.0); }
 
   void pass(double secs, double slowdown) {
     used_ = std::clamp(mostUsed * crowdedAt / slowdown, leastUsed, mostUsed);
@@ -177,7 +180,7 @@
     while (!given_.empty() && given_.front() <= now) given_.pop_front();
     return inHand() + 1 <= std::max(1.0, width()) && (width() >= 1 || spent_ < bucket() / 2);
   }
-  double width() const { return b_.callShare > 0 ? b_.callShare * used_ : 1e6; }
+  double width() const { return shared() ? b_.callShare * used_ : 1e6; }
   Span longest() const {
     return width() >= 1 ? Span::max() : spanOf((bucket() - spent_) / (1 - width())) - b_.linger;
   }
@@ -188,7 +191,7 @@
     --made_;
     if (mayLinger && b_.linger > 0s) given_.push_back(now + b_.linger);
   }
-  bool shared() const { return b_.callShare > 0; }
+  bool shared() const { return stated_ > 0; }
   static bool provesNotRun(Outcome o) {
     return o == Outcome::refused || o == Outcome::unreachable || o == Outcome::moot;
   }
@@ -196,7 +199,8 @@
  private:
   static constexpr double mostUsed = 0.8, leastUsed = 0.3, crowdedAt = 2;
   double bucket() const { return b_.callShare * (1 - mostUsed) * seconds(b_.callShareSpan); }
-  const Below b_;
+  Below b_;
+  const double stated_;
   int made_ = 0;
   double used_ = mostUsed;
   double spent_ = 0;        // seconds of calls in hand beyond what the width has leaked
@@ -373,6 +377,7 @@
     return std::move(out_);
   }
   std::uint64_t looks() const override { return looks_; }
+  double limit() const override { return climber_.limit(); }
 
  private:
   // What happened, taken into the books.
@@ -443,6 +448,7 @@
     say(SayHealth{false, true});
     say(Note{"leaving: health withdrawn, held " + std::to_string(hold_.size())});
   }
+  void take(const CallShare& e) { calls_.allow(e.part); }
   void take(const TimerRang& e) {
     if (e.timer != tick_) return;
     say(SetTimer{tick_, tickEvery});
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -127,7 +127,12 @@
   std::optional<double> memory;
   std::optional<double> connections;
 };
-using Event = std::variant<ReqRead, RunEnded, CallWanted, CallEnded, CallerGone, LeaveNotice, TimerRang>;
+// How much of the stated share of calls in hand may be used from now on, 0 to 1.
+struct CallShare {
+  double part = 1;
+};
+using Event =
+    std::variant<ReqRead, RunEnded, CallWanted, CallEnded, CallerGone, LeaveNotice, TimerRang, CallShare>;
 
 // Actions.
 struct Start {
@@ -191,6 +196,8 @@
   // How many entries of its tables decide() has gone through so far: what turns cost, whatever the clock
   // says.
   virtual std::uint64_t looks() const = 0;
+  // The limit on running reqs now.
+  virtual double limit() const = 0;
 };
 
 // The seed is there for decisions by chance; none is left to chance now.
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -250,9 +250,9 @@
     ill(1);
   if (++member.missed == 3 && member.state == State::alive)
     out.changes.push_back({What::unreachable, member.card, member.state, "three probes without an answer"});
-  if (deaf(now) || now < regardUntil_) return;  // it may be we who hear nothing
+  if (terms_.ownPause && (deaf(now) || now < regardUntil_)) return;  // it may be we who hear nothing
   // It speaks to us, or to one of our helpers: it lives, whatever became of our probe.
-  if (member.heardAt >= probe.started || (terms_.witnesses && member.vouchedAt >= probe.started)) return;
+  if (terms_.witnesses && (member.heardAt >= probe.started || member.vouchedAt >= probe.started)) return;
   if (member.state != State::alive && member.state != State::suspect) return;
   Rumour rumour{Says::suspect, member.card, {ourselves()}};
   suspect(now, member, rumour, out);
@@ -626,7 +626,7 @@
 
 void Membership::judge(Span now, Out& out) {
   std::erase_if(verdicts_, [&](Span at) { return now - at >= terms_.every * terms_.verdictOver; });
-  if (!suspicions_.empty() || !silent_.empty()) lookAtZones(now, out);
+  if (terms_.witnesses && (!suspicions_.empty() || !silent_.empty())) lookAtZones(now, out);
   while (!suspicions_.empty() && suspicions_.begin()->first <= now) {
     const MemberName name = suspicions_.begin()->second;
     Member& member = members_.at(name);
--- a/src/membership/wire.cpp
+++ b/src/membership/wire.cpp
@@ -36,10 +36,10 @@
 }
 void put(Packer& out, const DigestOf& of) {
   const Digest& d = of.digest;
-  out.pack_array(10);
+  out.pack_array(11);
   put(out, of.name), put(out, of.incarnation);
   out.pack(d.version), put(out, d.phase);
-  for (const double value : {d.warmth, d.limit, d.running, d.read, d.done, d.heldBack})
+  for (const double value : {d.warmth, d.limit, d.running, d.read, d.done, d.heldBack, d.fleet})
     out.pack(static_cast<float>(value));
 }
 
@@ -166,7 +166,7 @@
     if (const auto* version = inner.next()) of.digest.version = version->as<std::uint64_t>();
     take(inner, of.digest.phase, Phase::unfit);
     Digest& d = of.digest;
-    for (double* value : {&d.warmth, &d.limit, &d.running, &d.read, &d.done, &d.heldBack}) {
+    for (double* value : {&d.warmth, &d.limit, &d.running, &d.read, &d.done, &d.heldBack, &d.fleet}) {
       const auto* number = inner.next();
       if (number) *value = number->as<double>();
       if (!std::isfinite(*value) || *value < 0) throw msgpack::type_error();
--- a/src/membership/words.h
+++ b/src/membership/words.h
@@ -38,6 +38,7 @@
   std::uint64_t version = 0;  // 0: nothing was said yet
   Phase phase = Phase::observer;
   double warmth = 1, limit = 0, running = 0, read = 0, done = 0, heldBack = 0;
+  double fleet = 0;  // the fleet by which it divides the dependency; see share.h
   auto operator<=>(const Digest&) const = default;
 };
 
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -40,6 +40,10 @@
   bool deliver(const std::string& name, std::string_view reply);
   bool forgo(const std::string& name, std::uint64_t notice);
   void ask(std::uint64_t question);
+  // Greeted, and no question has gone unanswered for a second: a hung engine keeps its link.
+  bool works() const {
+    return greeted_ && !(waitingSince_ && Reactor::Clock::now() - *waitingSince_ > std::chrono::seconds(1));
+  }
   // Whether what was said then may never have been read: it went to a link that is gone, and no question that
   // was asked later has been answered.
   bool mayBeLost(Reactor::Clock::time_point said) const { return said < linkedAt_ && said >= readUntil_; }
--- /dev/null
+++ b/src/server/presence.cpp
@@ -0,0 +1,82 @@
+#include "server/presence.h"
+
+#include <algorithm>
+
+namespace rainhook::server {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// Ten looks in a second at most; in one second, what is new in a digest need not go out more often.
+membership::Span lookEvery(const membership::MembersPlace& place) {
+  return std::clamp<membership::Span>(place.probeEvery, 100ms, 1s);
+}
+constexpr int leasePeriods = 30, calmPeriods = 5;
+
+}  // namespace
+
+Presence::Presence(net::Reactor& reactor, net::Log& log, const membership::MembersPlace& place,
+                   Server& server, int servers, std::uint64_t chance)
+    : reactor_(reactor),
+      log_(log),
+      server_(server),
+      every_(lookEvery(place)),
+      lease_(place.probeEvery * leasePeriods),
+      members_(reactor, pool_, log, place, membership::Incarnation{1}, chance,
+               [this](const membership::Change& change) {
+                 // Two under one name would each take a share for one: the second leaves, in good order.
+                 if (change.what != membership::Change::What::refused) return;
+                 log_.line(net::Matter::membership,
+                           "the name {} is held by the living instance at {}: this one leaves",
+                           change.who.name.text, change.who.address.text);
+                 server_.leave();
+               }),
+      share_({servers, lease_, place.probeEvery * calmPeriods}) {}
+
+Presence::~Presence() { reactor_.letGo(); }  // its connections hold buffers of our pool
+
+void Presence::open() {
+  members_.open();
+  look();
+}
+
+void Presence::leave() {
+  look();
+  members_.leave();
+}
+
+void Presence::look() {
+  next_ = reactor_.after(every_, [this] { look(); });
+  const membership::Span now = net::Reactor::Clock::now().time_since_epoch();
+  const auto figures = server_.figures();
+  const double secs =
+      lookedAt_ ? std::max(std::chrono::duration<double>(now - *lookedAt_).count(), 0.001) : 1;
+  lookedAt_ = now;
+  using membership::Phase;
+  membership::Digest digest;
+  digest.phase = figures.leaving      ? Phase::draining
+                 : !figures.works     ? Phase::unfit
+                 : figures.warmth < 1 ? Phase::cold
+                                      : Phase::serving;
+  digest.warmth = figures.warmth, digest.limit = figures.limit;
+  digest.running = static_cast<double>(figures.running);
+  digest.read = static_cast<double>(figures.read - before_.read) / secs;
+  digest.done = static_cast<double>(figures.done - before_.done) / secs;
+  heldBack_ += 0.2 * ((figures.held > 0 ? 1.0 : 0.0) - heldBack_);
+  digest.heldBack = heldBack_;
+  before_ = figures;
+  digest.fleet = static_cast<double>(share_.fleet());
+  members_.say(digest);
+  const auto seen = membership::fleetSeen(members_.core(), now, lease_);
+  const double share = members_.core().refused() ? 0 : share_.look(now, seen);
+  if (said_ == share) return;
+  said_ = share;
+  log_.event(net::Matter::membership, "share",
+             {{"share", share},
+              {"counted", static_cast<std::int64_t>(share_.counted())},
+              {"doubtful", seen.doubtful}});
+  server_.mayCall(share);
+}
+
+}  // namespace rainhook::server
--- /dev/null
+++ b/src/server/presence.h
@@ -0,0 +1,39 @@
+// This server among the others: says what it does, as its digest, and takes from who is there what share of
+// the dependency it may use. It decides neither: membership does.
+#pragma once
+
+#include "membership/share.h"
+#include "net/members.h"
+#include "server/server.h"
+
+namespace rainhook::server {
+
+class Presence {
+ public:
+  // `chance` is a number drawn at the start of this process.
+  Presence(net::Reactor& reactor, net::Log& log, const membership::MembersPlace& place, Server& server,
+           int servers, std::uint64_t chance);
+  ~Presence();
+  // Throws Poco::Exception where the address can't be had.
+  void open();
+  // The notice to leave: it spreads before the server stops reading.
+  void leave();
+
+ private:
+  void look();
+
+  net::Reactor& reactor_;
+  net::Log& log_;
+  Server& server_;
+  const membership::Span every_, lease_;
+  net::BufferPool pool_;
+  net::Members members_;
+  membership::DependencyShare share_;
+  std::optional<double> said_;
+  Server::Figures before_;
+  std::optional<membership::Span> lookedAt_;
+  double heldBack_ = 0;
+  net::Reactor::Timer next_;
+};
+
+}  // namespace rainhook::server
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -91,6 +91,12 @@
   module_ = openDecision(place_.seed, machine, facts_.handlers, facts_.below, facts_.duties, facts_.voice,
                          facts_.trade, facts_.fleet);
   fresh_ = true;
+  if (part_ < 1) tell(CallShare{part_});
+}
+
+void Server::mayCall(double part) {
+  part_ = part;
+  if (module_) tell(CallShare{part});
 }
 
 Span Server::sinceOpened() const { return net::Reactor::Clock::now() - origin_; }
@@ -354,6 +360,7 @@
 
 void Server::report() {
   reporting_ = reactor_.after(reportEvery, [this] { report(); });
+  readBefore_ += counts_.read, doneBefore_ += counts_.done;
   const auto counts = std::exchange(counts_, {});
   if (counts.read + counts.shed + counts.errored == 0) return;
   const auto now = standing();
@@ -378,6 +385,20 @@
   return out;
 }
 
+Server::Figures Server::figures() const {
+  Figures out;
+  out.leaving = stopAt_.has_value();
+  out.works = engine_.works();
+  const Machine& machine = facts_.machine;
+  if (module_) out.limit = module_->limit();
+  if (machine.cold && module_ && machine.warmWithin > 0s)
+    out.warmth = std::min(1.0, std::chrono::duration<double>(sinceOpened()) / machine.warmWithin);
+  const auto now = standing();
+  out.running = now.onCores + now.atCalls, out.held = now.held;
+  out.read = readBefore_ + counts_.read, out.done = doneBefore_ + counts_.done;
+  return out;
+}
+
 // Leaving: the module hears that it ends a little before the stop; late in it callers are asked to close
 // their connections, and the end comes once none is left, or just before the stop.
 void Server::leave() {
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -40,6 +40,16 @@
     auto operator<=>(const Standing&) const = default;
   };
   Standing standing() const;
+  // What it does, in numbers that others may hear.
+  struct Figures {
+    bool leaving = false, works = false;
+    double warmth = 1, limit = 0;  // share of its full speed; reqs that may run
+    std::size_t running = 0, held = 0;
+    std::uint64_t read = 0, done = 0;  // since the start
+  };
+  Figures figures() const;
+  // How much of its stated share of the dependency it may use from now on, 0 to 1.
+  void mayCall(double part);
   std::uint64_t looks() const { return clients_.looks(); }
   // The notice to leave; the reactor stops once all is answered.
   void leave();
@@ -115,6 +125,8 @@
     std::uint64_t read = 0, done = 0, shed = 0, errored = 0, left = 0, calls = 0, callsDone = 0;
     Span unread{};
   } counts_;
+  std::uint64_t readBefore_ = 0, doneBefore_ = 0;  // until the counts began anew
+  double part_ = 1;                                // of the stated share of calls
   net::Reactor::Timer again_, reporting_, leaving_;
   std::optional<Moment> stopAt_;
   std::optional<double> wantingCore_;   // as the engine said last
--- /dev/null
+++ b/src/standins/engine.cpp
@@ -0,0 +1,93 @@
+#include "standins/engine.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "net/jsonl.h"
+
+namespace rainhook::standins {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+Engine::Engine(std::chrono::milliseconds work, bool calls) : work_(work), calls_(calls) {
+  thread_ = std::thread([this] { run(); });
+}
+Engine::~Engine() {
+  over_ = true;
+  thread_.join();
+  if (link_ >= 0) ::close(link_);
+}
+
+std::map<std::string, int> Engine::launches() const {
+  const std::lock_guard lock(mutex_);
+  return launches_;
+}
+
+void Engine::say(const std::string& line) {
+  if (link_ >= 0 && !hangs_) send(link_, line);
+}
+
+void Engine::run() {
+  while (!over_) {
+    pollfd on[2] = {{listener_.fd(), POLLIN, 0}, {link_, POLLIN, 0}};
+    ::poll(on, link_ >= 0 ? 2 : 1, due_.empty() ? 10 : 1);
+    if ((on[0].revents & POLLIN) != 0) {
+      if (link_ >= 0) ::close(link_);
+      link_ = listener_.accept(), in_.clear();
+    } else if (link_ >= 0 && on[1].revents != 0) {
+      if (!receive(link_, in_)) ::close(std::exchange(link_, -1));
+      for (auto end = in_.find('\n'); end != std::string::npos; end = in_.find('\n')) {
+        heard(in_.substr(0, end));
+        in_.erase(0, end + 1);
+      }
+    }
+    while (!hangs_ && !due_.empty() && due_.top().at <= Clock::now()) {
+      const Due due = due_.top();
+      due_.pop();
+      if (due.ends) {
+        running_.erase(due.name);
+        say(net::jsonl::writeLine({{"msg", "outcome"},
+                                   {"serial", ++notices_},
+                                   {"call", due.name},
+                                   {"how", "ok"},
+                                   {"duration", work_.count()},
+                                   {"blob", net::jsonl::toBase64("done")}}));
+      } else if (calls_) {
+        running_[due.name] = 1;
+        say(net::jsonl::writeLine({{"msg", "request"},
+                                   {"serial", ++notices_},
+                                   {"call", due.name},
+                                   {"blob", net::jsonl::toBase64("call")}}));
+      } else {
+        due_.push({due.at + work_ / 2, due.name, true});
+      }
+    }
+  }
+}
+
+void Engine::heard(const std::string& line) {
+  const auto said = json::parse(line, nullptr, false);
+  if (!said.is_object() || hangs_) return;
+  const auto what = said.value("msg", "");
+  const auto name = said.value("call", "");
+  if (what == "subscribe")
+    say(net::jsonl::writeLine({{"msg", "greeting"}, {"how", "warm"}, {"duration", 0}}));
+  if (what == "sample")
+    say(net::jsonl::writeLine(
+        {{"msg", "sampled"},
+         {"cookie", said["cookie"]},
+         {"stats", {std::min(1.0, static_cast<double>(running_.size()) / 2), running_.size(), 0.1, 1}}}));
+  if (what == "launch" && !running_.contains(name)) {
+    const std::lock_guard lock(mutex_);
+    ++launches_[name];
+    running_[name] = 0;
+    due_.push({Clock::now() + work_ / 2, name, false});
+  }
+  if ((what == "deliver" || what == "forgo") && running_.contains(name) && running_[name] == 1) {
+    running_[name] = 2;
+    due_.push({Clock::now() + work_ / 2, name, true});
+  }
+}
+
+}  // namespace rainhook::standins
--- /dev/null
+++ b/src/standins/engine.h
@@ -0,0 +1,50 @@
+// A stand-in for the engine: runs each launch for a fixed time, half before and half after its one call, and
+// can be made to hang. Says how often each req was launched.
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <queue>
+#include <string>
+#include <thread>
+
+#include "standins/line.h"
+
+namespace rainhook::standins {
+
+class Engine {
+ public:
+  Engine(std::chrono::milliseconds work, bool calls);
+  ~Engine();
+  const std::string& address() const { return listener_.address(); }
+  // Keeps the link and says nothing more, as long as it is so.
+  void hang(bool does) { hangs_ = does; }
+  std::map<std::string, int> launches() const;
+
+ private:
+  struct Due {
+    Clock::time_point at;
+    std::string name;
+    bool ends = false;
+    bool operator<(const Due& other) const { return at > other.at; }
+  };
+  void run();
+  void heard(const std::string& line);
+  void say(const std::string& line);
+
+  const std::chrono::milliseconds work_;
+  const bool calls_;
+  Listener listener_;
+  int link_ = -1;
+  std::string in_;
+  std::uint64_t notices_ = 0;
+  std::priority_queue<Due> due_;
+  std::map<std::string, int> running_;  // 0 first half, 1 at its call, 2 second half
+  mutable std::mutex mutex_;
+  std::map<std::string, int> launches_;
+  std::atomic<bool> hangs_{false}, over_{false};
+  std::thread thread_;
+};
+
+}  // namespace rainhook::standins
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -45,6 +45,7 @@
     : zones_(zones),
       every_(every),
       relays_(seed),
+      fronts_(count),
       reach_(count),
       processes_(count),
       lives_(count, 0),
@@ -89,12 +90,20 @@
   write(i);
 }
 
+void Fleet::serves(std::size_t i, nlohmann::json configuration) {
+  fronts_[i] = freeAddress(addresses_[i].substr(0, addresses_[i].rfind(':')));
+  configuration["name"] = name(i), configuration["listen"] = fronts_[i];
+  configuration["seed"] = "8c1f30d27a5be964";
+  std::ofstream(folder_ + "/" + name(i) + ".json") << configuration;
+}
+
 void Fleet::start(std::size_t i) {
   ++lives_[i];
   did("start", i);
-  processes_[i] = std::make_unique<Process>(
-      std::vector<std::string>{RAINHOOK_PROGRAM, "witness", "--options", options(i)},
-      folder_ + "/" + name(i) + ".log");
+  std::vector<std::string> words{RAINHOOK_PROGRAM, "witness"};
+  if (!fronts_[i].empty()) words = {RAINHOOK_PROGRAM, "serve", "--config", folder_ + "/" + name(i) + ".json"};
+  words.insert(words.end(), {"--options", options(i)});
+  processes_[i] = std::make_unique<Process>(words, folder_ + "/" + name(i) + ".log");
 }
 void Fleet::startAll() {
   for (std::size_t i = 0; i < size(); ++i) start(i);
@@ -142,6 +151,7 @@
     seen.state = line.value("state", "");
     seen.zone = line.value("zone", ""), seen.why = line.value("why", "");
     seen.incarnation = line.value("incarnation", std::uint64_t{0});
+    seen.share = line.value("share", 0.0);
     // A process says first where it is a member; that begins a new life.
     if (seen.event == "line" && line.value("text", "").find(" is a member at ") != std::string::npos)
       history.now.clear();
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -22,6 +22,7 @@
   std::size_t life = 0;  // of the viewer: which of its processes
   std::string event, about, state, zone, why;
   std::uint64_t incarnation = 0;
+  double share = 0;  // of the dependency, in `share`
 };
 
 struct History {
@@ -64,6 +65,10 @@
   void heal();
   // Writes the settings of one anew, with more lines of its section.
   void write(std::size_t i, const std::string& more = "", const std::string& key = "key");
+  // From its next start on this one is a server: the rest of its configuration as JSON (agent, backend,
+  // settings).
+  void serves(std::size_t i, nlohmann::json configuration);
+  const std::string& front(std::size_t i) const { return fronts_[i]; }
   // Another address for one that is down.
   void move(std::size_t i);
 
@@ -91,7 +96,7 @@
   const milliseconds every_;
   std::string folder_;
   Relays relays_;
-  std::vector<std::string> addresses_;
+  std::vector<std::string> addresses_, fronts_;  // fronts: where a server listens, empty for a witness
   std::vector<std::map<std::size_t, std::string>> reach_;
   std::vector<std::unique_ptr<Process>> processes_;
   std::vector<std::size_t> lives_;
--- a/tests/membership_world.h
+++ b/tests/membership_world.h
@@ -52,7 +52,7 @@
     ++node.life;
     Membership::Out out;
     Digest digest;
-    digest.limit = static_cast<double>(i);
+    digest.phase = Phase::serving, digest.limit = static_cast<double>(i);
     node.member->say(now, digest);
     node.member->open(now, out);
     carry(i, i, out);
--- a/tests/options_test.cpp
+++ b/tests/options_test.cpp
@@ -2,6 +2,11 @@
 #include "options/options.h"
 
 #include <gtest/gtest.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
 
 namespace rainhook::options {
 namespace {
@@ -49,5 +54,83 @@
   EXPECT_THROW(readOptionsFile("/nowhere/at/all.yaml"), OptionsError);
 }
 
+// Settings of membership beside a key of their own.
+class MembershipOptions : public testing::Test {
+ protected:
+  MembershipOptions() {
+    char name[] = "/tmp/rainhook-options-XXXXXX";
+    folder_ = ::mkdtemp(name);
+    key("key", "AAECAwQFBgcICQoLDA0ODxAREhMUFRYXGBkaGxwdHh8=\n", 0600);
+    key("short", "AAECAwQFBgc=\n", 0600);
+    key("open", "AAECAwQFBgcICQoLDA0ODxAREhMUFRYXGBkaGxwdHh8=\n", 0644);
+  }
+  ~MembershipOptions() override { std::filesystem::remove_all(folder_); }
+  void key(const std::string& name, const std::string& text, mode_t mode) const {
+    std::ofstream(folder_ + "/" + name) << text;
+    ::chmod((folder_ + "/" + name).c_str(), mode);
+  }
+  Options read(const std::string& more) const {
+    return readOptions("membership:\n  name: a1\n  zone: z\n  region: r\n" + more, folder_ + "/f.yaml");
+  }
+  // The fault without the folder.
+  std::string fault(const std::string& more) const {
+    try {
+      read(more);
+    } catch (const OptionsError& error) {
+      std::string out = error.what();
+      for (auto at = out.find(folder_ + "/"); at != std::string::npos; at = out.find(folder_ + "/"))
+        out.erase(at, folder_.size() + 1);
+      return out;
+    }
+    return "none";
+  }
+  std::string folder_;
+  const std::string fine_ = "  listen: 127.0.0.11:7101\n  keys: [key]\n";
+};
+
+TEST_F(MembershipOptions, AreTakenAsStated) {
+  const auto got = read(
+      fine_ + "  seeds: [\"127.0.0.12:7101\"]\n  reach: {b1: \"127.0.1.2:9001\"}\n  probe-every: 250ms\n");
+  ASSERT_TRUE(got.membership);
+  EXPECT_EQ(got.membership->name.text, "a1");
+  EXPECT_EQ(got.membership->advertise.text, "127.0.0.11:7101");
+  EXPECT_EQ(got.membership->seeds.size(), 1u);
+  EXPECT_EQ(got.membership->reach.at({"b1"}).text, "127.0.1.2:9001");
+  EXPECT_EQ(got.membership->probeEvery, std::chrono::milliseconds(250));
+  EXPECT_EQ(got.membership->keys[0][31], 31);
+  EXPECT_EQ(switchedOn(got).size(), 1u);
+}
+
+TEST_F(MembershipOptions, EachFaultNamesFileLineAndKey) {
+  EXPECT_EQ(fault("  listen: here:7101\n  keys: [key]\n"),
+            "f.yaml:5: membership.listen: 'here:7101' is no address of the form 127.0.0.1:7101");
+  EXPECT_EQ(fault("  listen: 127.0.0.1:70000\n  keys: [key]\n"),
+            "f.yaml:5: membership.listen: '127.0.0.1:70000' is no address of the form 127.0.0.1:7101");
+  EXPECT_EQ(fault("  listen: 127.0.0.11:7101\n  keys: [short]\n"),
+            "f.yaml:6: membership.keys: short holds no 32 bytes in base64");
+  EXPECT_EQ(fault("  listen: 127.0.0.11:7101\n  keys: [open]\n"),
+            "f.yaml:6: membership.keys: open can be read by all");
+  EXPECT_EQ(fault("  listen: 127.0.0.11:7101\n  keys: [none]\n"),
+            "f.yaml:6: membership.keys: none can't be read");
+  EXPECT_EQ(fault("  listen: 127.0.0.11:7101\n"),
+            "f.yaml:2: membership.keys: names one or two files, each with a key");
+  EXPECT_EQ(fault(fine_ + "  seeds: [\"127.0.0.11:7101\"]\n"),
+            "f.yaml:7: membership.seeds: '127.0.0.11:7101' is this instance itself");
+  EXPECT_EQ(fault(fine_ + "  seeds: [\"127.0.0.12:7101\", \"127.0.0.12:7101\"]\n"),
+            "f.yaml:7: membership.seeds: names '127.0.0.12:7101' twice");
+  EXPECT_EQ(fault(fine_ + "  reach: {b: \"127.0.0.1:1\", b: \"127.0.0.1:2\"}\n"),
+            "f.yaml:7: membership.reach: names 'b' twice");
+  EXPECT_EQ(fault(fine_ + "  reach: {a1: \"127.0.0.1:1\"}\n"),
+            "f.yaml:7: membership.reach: names 'a1', this instance itself");
+  EXPECT_EQ(
+      fault(fine_ + "  probe-every: 10ms\n"),
+      "f.yaml:7: membership.probe-every: '10ms' is no span from 50 ms to 60000 ms, such as 250ms or 1s");
+  EXPECT_EQ(fault(fine_ + "  probe-every: 1\n"),
+            "f.yaml:7: membership.probe-every: '1' is no span from 50 ms to 60000 ms, such as 250ms or 1s");
+  EXPECT_EQ(fault(fine_ + "  colour: red\n"), "f.yaml:7: membership.colour: is no known key");
+  EXPECT_EQ(fault("  listen: 0.0.0.0:7101\n  keys: [key]\n"),
+            "f.yaml:2: membership.advertise: is missing: others can't reach 0.0.0.0");
+}
+
 }  // namespace
 }  // namespace rainhook::options
--- /dev/null
+++ b/tests/share_test.cpp
@@ -0,0 +1,128 @@
+// The share of the dependency: the sum over the fleet stays within what is stated, whatever the views are.
+#include "membership/share.h"
+
+#include <gtest/gtest.h>
+
+#include "membership_world.h"
+
+namespace rainhook::membership {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int stated = 4;  // servers for which the parts are stated
+
+DependencyShare share() { return DependencyShare({stated, 30s, 5s}); }
+
+// Looks ten times a second for so long, and gives the last.
+double after(DependencyShare& share, Span& now, Span by, const FleetSeen& seen) {
+  double out = 0;
+  for (const Span end = now + by; now < end; now += 100ms) out = share.look(now, seen);
+  return out;
+}
+
+TEST(DependencyShare, IsThePartStatedUpToTheServersStatedAndLessAtOnceBeyond) {
+  auto s = share();
+  Span now = 1s;
+  EXPECT_EQ(after(s, now, 10s, {4, 4, 4, false}), 1);
+  EXPECT_EQ(s.look(now, {8, 8, 8, false}), 0.5);
+  EXPECT_EQ(s.look(now, {8, 5, 8, true}), 0.5);
+}
+
+TEST(DependencyShare, GrowsOnlyOnceItIsSureForAWhileAndWithMost) {
+  auto s = share();
+  Span now = 1s;
+  after(s, now, 10s, {8, 8, 8, false});
+  EXPECT_EQ(after(s, now, 20s, {5, 5, 8, true}), 0.5);   // in doubt
+  EXPECT_EQ(after(s, now, 20s, {4, 4, 8, false}), 0.5);  // half is not most
+  EXPECT_EQ(after(s, now, 4s, {5, 5, 5, false}), 0.5);
+  EXPECT_EQ(after(s, now, 2s, {5, 5, 5, false}), 0.8);
+}
+
+TEST(DependencyShare, IsNothingForOneWhoLostMostForALeaseUntilItIsBack) {
+  auto s = share();
+  Span now = 1s;
+  after(s, now, 10s, {8, 8, 8, false});
+  EXPECT_EQ(after(s, now, 29s, {8, 3, 8, false}), 0.5);
+  EXPECT_EQ(after(s, now, 3s, {8, 3, 8, false}), 0);
+  EXPECT_EQ(after(s, now, 4s, {8, 6, 8, false}), 0);  // the others are to count it first
+  EXPECT_EQ(after(s, now, 2s, {8, 6, 8, false}), 0.5);
+}
+
+TEST(DependencyShare, IsNothingAfterALongStopWhateverItBelieves) {
+  auto s = share();
+  Span now = 1s;
+  after(s, now, 10s, {8, 8, 8, false});
+  now += 300s;
+  EXPECT_EQ(s.look(now, {8, 8, 8, false}), 0);
+  EXPECT_EQ(s.look(now + 100ms, {8, 8, 8, true}), 0);
+  now += 200ms;
+  EXPECT_EQ(after(s, now, 6s, {8, 8, 8, false}), 0.5);
+}
+
+// All members look once a second; the sum of what they may use is never over what is stated for `stated`
+// servers.
+class Sums {
+ public:
+  explicit Sums(World& world) : w(world), shares(w.nodes.size(), share()) {}
+  void run(Span by) {
+    for (const Span end = w.now + by; w.now < end;) {
+      w.run(1s);
+      double sum = 0;
+      for (std::size_t i = 0; i < w.nodes.size(); ++i)
+        if (w.up(i) && w.now >= w.nodes[i].pausedUntil) {
+          Digest digest;
+          digest.phase = Phase::serving, digest.fleet = static_cast<double>(shares[i].fleet());
+          w.nodes[i].member->say(w.now, digest);
+          last[i] = shares[i].look(w.now, fleetSeen(*w.nodes[i].member, w.now, 30s));
+        }
+      for (std::size_t i = 0; i < w.nodes.size(); ++i) sum += calls(i) ? last[i] : 0;
+      most = std::max(most, sum);
+      least = std::min(least, sum);
+    }
+  }
+  // Whoever is stopped calls nobody.
+  bool calls(std::size_t i) const { return w.up(i) && w.now >= w.nodes[i].pausedUntil; }
+  double now() const {
+    double sum = 0;
+    for (const auto& [i, is] : last) sum += calls(i) ? is : 0;
+    return sum;
+  }
+  World& w;
+  std::vector<DependencyShare> shares;
+  std::map<std::size_t, double> last;
+  double most = 0, least = 1e9;
+};
+
+TEST(DependencyShare, TheSumHoldsThroughSplitsDeathsAndStops) {
+  for (int seed = 1; seed <= 10; ++seed)
+    for (const std::size_t parts : {2u, 3u, 5u}) {
+      World w(10, 3, static_cast<std::uint64_t>(seed));
+      w.startAll();
+      ASSERT_TRUE(w.until(60s, [&] { return w.agreed(); }));
+      Sums sums(w);
+      sums.run(60s);
+      sums.most = 0;
+      // Of five parts the first has most; of two and three none has.
+      const auto part = [&](std::size_t i) { return parts == 5 ? (i < 7 ? 0 : 1) : i % parts; };
+      w.link = [&](auto from, auto to) { return World::Link{part(from) == part(to) ? 0.0 : 1.0, {}}; };
+      sums.run(300s);
+      EXPECT_NEAR(sums.now(), parts == 3 ? 0 : stated, 1e-9)
+          << "a side with most has it all, thirds have nothing";
+      w.pause(2, 200s);
+      w.kill(4);
+      w.kill(8), w.start(8, parts == 5 ? 9 : 2);  // it knows its side alone
+      sums.shares[8] = share();
+      sums.run(300s);
+      w.link = [](auto, auto) { return World::Link{}; };
+      w.start(4);
+      sums.shares[4] = share();
+      sums.run(200s);
+      EXPECT_LE(sums.most, stated + 1e-9) << parts << " parts, seed " << seed;
+      EXPECT_TRUE(w.agreed());
+      EXPECT_NEAR(sums.now(), stated, 1e-9) << "after all is well, all of it is used";
+    }
+}
+
+}  // namespace
+}  // namespace rainhook::membership
