--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -44,13 +44,6 @@
 
 Span Membership::wake() const { return wake_; }
 
-std::size_t Membership::living() const {
-  std::size_t out = 1;
-  for (const auto& [name, member] : members_)
-    out += member.state == State::alive || member.state == State::suspect;
-  return out;
-}
-
 // Own health, 0 to 8 (Lifeguard, section IV.A): the worse it is, the longer we wait before we doubt others.
 void Membership::ill(int by) {
   if (terms_.ownHealth) ill_ = std::clamp(ill_ + by, 0, mostIll);
@@ -62,7 +55,8 @@
 
 bool Membership::doubtful(Span now) const {
   if (!joined_ || deaf(now) || now < regardUntil_) return true;
-  // Fewer than half of those that were there lately are not lost to us: it may be we who are cut off.
+  if (suspicions_.empty() && buried_.empty()) return false;
+  // More than half of those that were there lately are lost to us: it may be we who are cut off.
   std::size_t there = 1, well = 1;
   for (const auto& [name, member] : members_) {
     const bool lately = member.state == State::dead && now - member.since < terms_.every * terms_.verdictOver;
@@ -154,7 +148,6 @@
     const MemberName name = buried_.begin()->second;
     rumours_.forget(name);
     members_.erase(name);
-    askedFor_.erase(name);
     buried_.erase(buried_.begin());
   }
   wake_ = now + terms_.every / 4;
@@ -248,8 +241,7 @@
     ill(static_cast<int>(probe.asked - probe.nacks) > 1 ? 2 : 1);
   else
     ill(1);
-  if (++member.missed == 3 && member.state == State::alive)
-    out.changes.push_back({What::unreachable, member.card, member.state, "three probes without an answer"});
+  miss(member, "three probes without an answer", out);
   if (terms_.ownPause && (deaf(now) || now < regardUntil_)) return;  // it may be we who hear nothing
   // It speaks to us, or to one of our helpers: it lives, whatever became of our probe.
   if (terms_.witnesses && (member.heardAt >= probe.started || member.vouchedAt >= probe.started)) return;
@@ -291,15 +283,23 @@
   Member& member = found->second;
   member.provedAt = now;
   if (straight) {
-    if (std::exchange(member.missed, 0) >= 3)
+    member.missed = 0;
+    if (unreached_.erase(member.card.name) > 0)
       out.changes.push_back({What::reachable, member.card, member.state, "it answers"});
   } else {
-    if (++member.missed == 3 && member.state == State::alive)
-      out.changes.push_back({What::unreachable, member.card, member.state, "answers others only"});
+    miss(member, "answers others only", out);
     alive(now, {Says::alive, reached, {}}, out);
   }
 }
 
+// It did not answer us straight, for the third time in a row: it is unreachable from here, whatever it is for
+// others.
+void Membership::miss(Member& member, const char* why, Out& out) {
+  if (++member.missed != 3 || member.state != State::alive) return;
+  unreached_.insert(member.card.name);
+  out.changes.push_back({What::unreachable, member.card, member.state, why});
+}
+
 // A verified word straight from a member.
 void Membership::heardFrom(Span now, const Message& message, Out& out) {
   if (!message.joined) return;
@@ -486,6 +486,7 @@
     Member& member = it->second;
     member.card = who;
     member.since = now;
+    ++living_;
     round_.insert(round_.begin() + static_cast<std::ptrdiff_t>(at_ + below(round_.size() - at_ + 1)),
                   who.name);
     say(Says::alive, who, {});
@@ -495,6 +496,7 @@
   Member& member = it->second;
   if (who.incarnation <= member.card.incarnation) return;
   const bool moved = who.boot != member.card.boot || who.address != member.card.address;
+  if (moved) unreached_.erase(who.name);
   if (moved) member.missed = 0, member.digest = {}, member.digestAt = Span{-1};
   member.card = who;
   say(Says::alive, who, {});
@@ -787,9 +789,9 @@
 void Membership::send(Send::Way way, const MemberName& to, const Address& address, Message message,
                       Out& out) {
   const bool whole = message.kind == Kind::state || message.kind == Kind::stateBack;
-  for (const auto& [name, member] : members_) {
+  for (const auto& name : unreached_) {
     if (message.unheard.size() >= mostUnheard) break;
-    if (member.state == State::alive && !member.reached()) message.unheard.push_back(name);
+    message.unheard.push_back(name);
   }
   if (digest_.version > 0) message.digests.push_back({self_.name, self_.incarnation, digest_});
   const auto digestOf = [&](const Member& member) {
@@ -819,12 +821,9 @@
     if (member.suspicion) notice.by.assign(member.suspicion->by.begin(), member.suspicion->by.end());
     message.rumours.insert(message.rumours.begin(), std::move(notice));
   }
-  if (!members_.empty())
-    for (int i = 0; i < 2; ++i) {
-      auto it = members_.begin();
-      std::advance(it, static_cast<std::ptrdiff_t>(below(members_.size())));
+  for (int i = 0; i < 2 && !round_.empty(); ++i)
+    if (const auto it = members_.find(round_[below(round_.size())]); it != members_.end())
       digestOf(it->second);
-    }
   for (auto& rumour : message.rumours)
     if (rumour.says == Says::heard) rumour.heard = std::max(now_ - rumour.heard, Span{});
   std::size_t taken = 0;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -123,7 +123,7 @@
   // Our own view may be wrong: users of it wait.
   bool doubtful(Span now) const;
   const std::map<MemberName, Member>& members() const { return members_; }
-  std::size_t living() const;  // with ourselves, the suspected counted
+  std::size_t living() const { return living_; }  // with ourselves, the suspected counted
   // Why a member is in its state, a line each.
   std::vector<std::string> explain(const MemberName& name, Span now) const;
   struct Counts {
@@ -153,6 +153,7 @@
   void ask(Span now, Nonce nonce, Probe& probe, Out& out);
   void failed(Span now, const Probe& probe, Out& out);
   void acked(Span now, const Message& message, Out& out);
+  void miss(Member& member, const char* why, Out& out);
   void heardFrom(Span now, const Message& message, Out& out);
   void heardAfterAll(Member& member, const Witness& by, Span at);
   void apply(Span now, const Rumour& rumour, Out& out);
@@ -203,7 +204,8 @@
   std::set<std::pair<Span, MemberName>> buried_;      // dead and left, by since; forgotten in time
   std::vector<Span> verdicts_;                        // within verdictOver
   std::map<ZoneName, Span> silent_;                   // since when
-  std::map<MemberName, Span> askedFor_;               // full states asked of the returned, lately
+  std::size_t living_ = 1;
+  std::set<MemberName> unreached_;  // alive, but three probes or more were not answered
   Digest digest_;
   Span now_{};  // of the call under way
   Span wake_{}, probeAt_{}, syncAt_{}, heardAny_{}, regardUntil_{-1}, leaveAt_{}, seedAt_{};
