A process of the rig ends with its test also on an abort; the setting state is refused

Seen: an aborted test left its witnesses running; the kernel ends them with their parent now. The setting was read and nothing kept, which a user could not tell: it is a fault of the file until the store stands behind it.

--- a/src/options/options.cpp
+++ b/src/options/options.cpp
@@ -98,6 +98,7 @@
   }
   out.probeEvery = given.span("probe-every", out.probeEvery, 50ms, 60s);
   out.state = given.text("state", "");
+  if (!out.state.empty()) given.fault("state", "is not there yet: nothing is kept on a disk");
   given.end();
   return out;
 }
--- a/tests/fleet/process.h
+++ b/tests/fleet/process.h
@@ -4,6 +4,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -23,6 +24,7 @@
     argv.push_back(nullptr);
     pid_ = ::fork();
     if (pid_ != 0) return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // also where the test is aborted
     ::dup2(::open("/dev/null", O_RDONLY), 0);
     const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::dup2(out, 1), ::dup2(out, 2);
