Reqs that do not tell their patience are served where the settings say that none is told

Cause: Clients::readReq asked for 'budget' on every req. Settings with passesDeadline=false have none, and a req falls due its class's hardLimitNs after it reached the machine; Server::reqCame knew that, the reader before it did not. Change: Clients is told by the settings whether patience is told, and the age of t0 is held against the client timeout there. Test: CrossingSettings.AReqThatDoesNotTellItsPatience... fails without it (exception instead of a launch).

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -75,12 +75,12 @@
 
 }  // namespace
 
-Clients::Clients(Reactor& reactor, BufferPool& pool, Log& log, Hearer& hearer, Names names, Most most)
+Clients::Clients(Reactor& reactor, BufferPool& pool, Log& log, Hearer& hearer, Terms terms, Most most)
     : reactor_(reactor),
       pool_(pool),
       log_(log),
       hearer_(hearer),
-      names_(std::move(names)),
+      terms_(std::move(terms)),
       mostOpen_(most.connections),
       mostOutput_(most.output) {}
 
@@ -200,13 +200,14 @@
   Given given(fields, fault);
   req.name = given.text("rid");
   if (req.name.size() != 16 || !parsed<std::uint64_t>(req.name, 16)) given.wrong("rid");
-  req.handler = HandlerId{static_cast<std::uint8_t>(given.place("method", names_.handlers))};
-  if (!names_.customers.empty())
-    req.customer = CustomerId{static_cast<std::uint16_t>(given.place("acct", names_.customers))};
+  req.handler = HandlerId{static_cast<std::uint8_t>(given.place("method", terms_.handlers))};
+  if (!terms_.customers.empty())
+    req.customer = CustomerId{static_cast<std::uint16_t>(given.place("acct", terms_.customers))};
   req.caller = CallerId{given.number<std::uint64_t>("peer", 0, ~0ULL)};
   constexpr std::int64_t longTime = 4'000'000'000'000;  // counts in nanoseconds, too
   const std::chrono::milliseconds came(given.number<std::int64_t>("t0", 0, longTime));
-  const std::chrono::milliseconds budget(given.number<std::int64_t>("budget", 0, 86'400'000));
+  if (terms_.tellsPatience)
+    req.patience = std::chrono::milliseconds(given.number<std::int64_t>("budget", 0, 86'400'000));
   req.heldKb = given.number<double>("mem", 0, 2000);
   if (req.heldKb <= 0 || req.heldKb >= 2000) given.wrong("mem");
   req.rank = given.number<double>("prio", 0, 1);
@@ -218,13 +219,14 @@
     req.workHint = Span(std::chrono::microseconds(
         static_cast<std::int64_t>(given.number<double>("est", 0, 86'400'000) * 1000)));
   if (req.body.size() > 2048) fault = "a body over 2 KiB";
+  if (!fault.empty()) return false;
   // One that nobody has waited for this long, or that is yet to come, would only mislead about the load.
-  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch());
-  if (came + budget + longPast < now || came > now + clocksDiffer) given.wrong("t0");
+  const Span waits = req.patience.value_or(terms_.clientTimeouts[static_cast<std::size_t>(req.handler)]);
+  const Span now = std::chrono::system_clock::now().time_since_epoch();
+  if (came + waits + longPast < now || came > now + clocksDiffer) given.wrong("t0");
   if (!fault.empty()) return false;
   req.unread = std::max<Span>(now - came, 0s);
-  req.patience = std::clamp<Span>(came + budget - now, 0s, budget);
+  if (req.patience) req.patience = std::clamp<Span>(came + waits - now, 0s, waits);
   return true;
 }
 
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -37,7 +37,8 @@
   std::string mark;  // by which a repeat of a uniqued req is known
   double rank = 0, heldKb = 0;
   std::optional<Span> workHint;
-  Span unread{}, patience{};
+  Span unread{};
+  std::optional<Span> patience;  // none where the settings say that callers don't tell it
   std::string body;
 };
 
@@ -49,8 +50,11 @@
     virtual std::optional<ReqId> reqCame(ArrivedReq&& req) = 0;
     virtual void callerLeft(ReqId id) = 0;
   };
-  struct Names {
+  // What the settings say of reqs.
+  struct Terms {
     std::vector<std::string> handlers, customers;
+    std::vector<Span> clientTimeouts;  // by handler
+    bool tellsPatience = true;         // callers say how long they wait
   };
 
   // Worked out from the limits: connections, and bytes that wait to be sent on all of them.
@@ -58,7 +62,7 @@
     std::size_t connections = 0, output = 0;
   };
 
-  Clients(Reactor& reactor, BufferPool& pool, Log& log, Hearer& hearer, Names names, Most most);
+  Clients(Reactor& reactor, BufferPool& pool, Log& log, Hearer& hearer, Terms terms, Most most);
 
   void listen(const Poco::Net::SocketAddress& address);
   Poco::Net::SocketAddress address() const { return listener_.address(); }
@@ -118,7 +122,7 @@
   BufferPool& pool_;
   Log& log_;
   Hearer& hearer_;
-  const Names names_;
+  const Terms terms_;
   const std::size_t mostOpen_, mostOutput_;
   Poco::Net::ServerSocket listener_;
   Poco::NObserver<Clients, Poco::Net::ReadableNotification> onAccept_{*this, &Clients::acceptable};
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -15,6 +15,12 @@
   return net::Connection::Address(text);
 }
 
+net::Clients::Terms termsOf(const Facts& facts) {
+  net::Clients::Terms out{facts.handlerNames, facts.customerNames, {}, facts.tellsPatience};
+  for (const auto& terms : facts.handlers) out.clientTimeouts.push_back(terms.clientTimeout);
+  return out;
+}
+
 // Descriptors: half of them are the balancers' to open, and a few more for what they have closed and we have
 // not yet; some are for the listener, the links, signals and the log; all others are for calls.
 constexpr std::size_t ownDescriptors = 14;
@@ -34,7 +40,7 @@
     : reactor_(reactor),
       log_(log),
       configured_(std::move(configured)),
-      clients_(reactor, pool_, log, *this, {facts_.handlerNames, facts_.customerNames},
+      clients_(reactor, pool_, log, *this, termsOf(facts_),
                {forBalancers(place_.descriptors), megabytes(place_.memoryMb) / 8}),
       servers_(reactor, pool_, log, *this, addressOf(place_.next), forCalls(place_.descriptors)),
       engine_(reactor, pool_, log, *this, net::Connection::Address(place_.engine)),
@@ -141,7 +147,7 @@
   read.rank = req.rank;
   read.heldKb = req.heldKb;
   read.workHint = req.workHint;
-  if (facts_.tellsPatience) read.patience = req.patience;
+  read.patience = req.patience;
   read.unread = req.unread;
   read.write = req.subject == SubjectId{};
   table_.add(id, std::move(req)).repeats = read.repeats;
