A key that comes with another content is errored; windows end by the caller's clock

Change: a mark holds a fingerprint of customer and body (XXH3-128); another content under a key is errored with the reason. By reading, in the same lines: windows were held against two clocks read one after the other, now the Unix clock of t0 alone, with 52 ms for the protocol's 50 and two whole milliseconds; a key outlived its window by 10 s whatever callers may wait, now by the longest client timeout too; a newer try that never ran took an older one's entry with it. World's command() is bounded.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -717,7 +717,9 @@
   void say(Action action) { out_.push_back(std::move(action)); }
 
   static constexpr TimerId tick_{1};
-  static constexpr Span tickEvery = 25ms, dueMargin = 30ms, keepMargin = 50ms;
+  static constexpr Span tickEvery = 25ms, dueMargin = 30ms;
+  // The protocol's slack, and what times of arrival in whole milliseconds may be off, at either end.
+  static constexpr Span keepMargin = 52ms;
   static constexpr Span quickEvery = 100ms, shortestIdle = 100ms;
   static constexpr double connectionsPerCore = 6, stormPerCore = 1;
   static constexpr double idleBelow = 0.85, holdPart = 0.3, doubt = 0.5, unreadLong = 0.3;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -222,7 +222,8 @@
   if (!fault.empty()) return false;
   // One that nobody has waited for this long, or that is yet to come, would only mislead about the load.
   const Span waits = req.patience.value_or(terms_.clientTimeouts[static_cast<std::size_t>(req.handler)]);
-  const Span now = std::chrono::system_clock::now().time_since_epoch();
+  req.readAt = std::chrono::system_clock::now();
+  const Span now = req.readAt.time_since_epoch();
   if (came + waits + longPast < now || came > now + clocksDiffer) given.wrong("t0");
   if (!fault.empty()) return false;
   req.unread = std::max<Span>(now - came, 0s);
@@ -246,10 +247,11 @@
   // Entered first, so that an answer given at once finds it.
   client.owed.emplace(message.sequence, ReqId{});
   const Ticket ticket = req.ticket;
-  if (const auto taken = hearer_.reqCame(std::move(req)))
-    client.owed[message.sequence] = *taken;
+  const auto taken = hearer_.reqCame(std::move(req));
+  if (const auto* taken_ = std::get_if<ReqId>(&taken))
+    client.owed[message.sequence] = *taken_;
   else
-    errored(ticket, "not taken");
+    errored(ticket, std::get<std::string_view>(taken));
 }
 
 void Clients::left(ClientId id, Ending how, const std::string& why) {
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -10,6 +10,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <variant>
 #include <vector>
 
 #include "decision/decision.h"
@@ -37,6 +39,7 @@
   std::string mark;  // by which a repeat of a uniqued req is known
   double rank = 0, heldKb = 0;
   std::optional<Span> workHint;
+  std::chrono::system_clock::time_point readAt{};  // as the protocol counts; it came `unread` before
   Span unread{};
   std::optional<Span> patience;  // none where the settings say that callers don't tell it
   std::string body;
@@ -46,8 +49,8 @@
  public:
   struct Hearer {
     virtual ~Hearer() = default;
-    // The id of the req from now on; none where it can't be taken, which answers it as errored.
-    virtual std::optional<ReqId> reqCame(ArrivedReq&& req) = 0;
+    // The id of the req from now on, or why it can't be taken, which answers it as errored.
+    virtual std::variant<ReqId, std::string_view> reqCame(ArrivedReq&& req) = 0;
     virtual void callerLeft(ReqId id) = 0;
   };
   // What the settings say of reqs.
@@ -57,6 +60,9 @@
     bool tellsPatience = true;         // callers say how long they wait
   };
 
+  // A req that nobody has waited for this long is not taken.
+  static constexpr Span longPast = std::chrono::seconds(10);
+
   // Worked out from the limits: connections, and bytes that wait to be sent on all of them.
   struct Most {
     std::size_t connections = 0, output = 0;
@@ -115,8 +121,7 @@
   static constexpr std::size_t longestFrame = 8 * 1024, mostWaiting = 32 * 1024, mostOwed = 32;
   static constexpr int kernelHolds = 64 * 1024;
   static constexpr Span sweepEvery = std::chrono::milliseconds(100), waveLasts = std::chrono::seconds(1),
-                        wholeWithin = std::chrono::seconds(2), longPast = std::chrono::seconds(10),
-                        clocksDiffer = std::chrono::seconds(5);
+                        wholeWithin = std::chrono::seconds(2), clocksDiffer = std::chrono::seconds(5);
 
   Reactor& reactor_;
   BufferPool& pool_;
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -21,6 +21,13 @@
   return out;
 }
 
+// A repeat is read at the latest once nobody waits for it any more; older ones are refused unread.
+Span longestWait(const Facts& facts) {
+  Span out = net::Clients::longPast;
+  for (const auto& terms : facts.handlers) out = std::max(out, terms.clientTimeout + net::Clients::longPast);
+  return out;
+}
+
 // Descriptors: half of them are the balancers' to open, and a few more for what they have closed and we have
 // not yet; some are for the listener, the links, signals and the log; all others are for calls.
 constexpr std::size_t ownDescriptors = 14;
@@ -44,7 +51,7 @@
                {forBalancers(place_.descriptors), megabytes(place_.memoryMb) / 8}),
       servers_(reactor, pool_, log, *this, addressOf(place_.next), forCalls(place_.descriptors)),
       engine_(reactor, pool_, log, *this, net::Connection::Address(place_.engine)),
-      marks_(megabytes(place_.memoryMb) / 8) {
+      marks_(megabytes(place_.memoryMb) / 8, longestWait(facts_)) {
   if (const auto address = addressOf(place_.list))
     list_ = std::make_unique<net::List>(reactor, pool_, log, *address, place_.name);
 }
@@ -116,24 +123,34 @@
 void Server::endTurn() {
   if (!module_ || (happened_.empty() && !std::exchange(fresh_, false))) return;
   marks_.turnEnds();
-  marks_.expire(net::Reactor::Clock::now());
+  marks_.expire(std::chrono::system_clock::now());
   const auto happened = std::exchange(happened_, {});
   for (const auto& action : module_->decide(sinceOpened(), happened))
     std::visit([this](const auto& a) { perform(a); }, action);
 }
 
 // News of the peers.
-std::optional<ReqId> Server::reqCame(net::ArrivedReq&& req) {
+std::variant<ReqId, std::string_view> Server::reqCame(net::ArrivedReq&& req) {
   if (table_.size() >= megabytes(place_.memoryMb) / 4 / inHandBytes) {
     log_.line(net::Matter::clients, "{} reqs in hand: no more are taken", table_.size());
-    return std::nullopt;
+    return "too many reqs in hand";
   }
   if (table_.named(req.name)) {
     log_.line(net::Matter::clients, "a req whose name is in hand already: {}", req.name);
-    return std::nullopt;
+    return "its id is in hand already";
   }
-  openModule(facts_.machine.cold, 0s);
   const ReqId id{++reqs_};
+  std::optional<ReqId> repeats;
+  if (const auto key = Marks::keyOf(req, facts_.handlers)) {
+    const auto known = marks_.firstOf(*key, Marks::contentOf(req), id, req.readAt - req.unread, req.readAt,
+                                      facts_.trade.shareFor);
+    if (known.conflicts) {
+      log_.line(net::Matter::clients, "a repeat whose first had another content: {}", req.name);
+      return "its key came with another content";
+    }
+    repeats = known.first;
+  }
+  openModule(facts_.machine.cold, 0s);
   ++counts_.read, counts_.unread += req.unread;
   ReqRead read;
   read.id = id;
@@ -141,9 +158,7 @@
   read.customer = req.customer;
   read.caller = req.caller;
   read.subject = req.subject;
-  const auto now = net::Reactor::Clock::now();
-  if (const auto key = Marks::keyOf(req, facts_.handlers))
-    read.repeats = marks_.firstOf(*key, id, now - req.unread, now, facts_.trade.shareFor);
+  read.repeats = repeats;
   read.rank = req.rank;
   read.heldKb = req.heldKb;
   read.workHint = req.workHint;
@@ -307,7 +322,7 @@
   const InHand* req = table_.find(action.id);
   if (!req) return;
   if (const auto key = Marks::keyOf(req->req, facts_.handlers))
-    marks_.keep(*key, action.id, net::Reactor::Clock::now() + action.keepFor);
+    marks_.keep(*key, Marks::contentOf(req->req), action.id, req->req.readAt + action.keepFor);
 }
 void Server::perform(const Forget& action) {
   firstEnded(action.id, Marks::End::errored, {});
@@ -350,7 +365,7 @@
 }
 
 void Server::firstEnded(ReqId first, Marks::End end, const std::string& result) {
-  marks_.ended(first, end, net::Reactor::Clock::now(), result);
+  marks_.ended(first, end, std::chrono::system_clock::now(), result);
   for (const ReqId id : table_.waitingFor(first)) answerFrom(id, *table_.find(id), end, result);
 }
 
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -55,7 +55,7 @@
   void leave();
 
  private:
-  std::optional<ReqId> reqCame(net::ArrivedReq&& req) override;
+  std::variant<ReqId, std::string_view> reqCame(net::ArrivedReq&& req) override;
   void callerLeft(ReqId id) override;
   void engineUp(bool cold, Span since) override;
   void caughtUp() override;
--- a/src/server/table.cpp
+++ b/src/server/table.cpp
@@ -1,5 +1,7 @@
 #include "server/table.h"
 
+#include <xxhash.h>
+
 namespace rainhook::server {
 
 InHand& Table::add(ReqId id, net::ArrivedReq&& req) {
@@ -43,18 +45,30 @@
   return std::nullopt;
 }
 
-std::optional<ReqId> Marks::firstOf(const Key& key, ReqId id, Moment arrived, Moment now, Span shareFor) {
-  const auto inTurn = turn_.try_emplace(key, id);
+Marks::Content Marks::contentOf(const net::ArrivedReq& req) {
+  if (req.mark.empty()) return {};
+  const XXH128_hash_t hash =
+      XXH3_128bits_withSeed(req.body.data(), req.body.size(), static_cast<std::uint64_t>(req.customer));
+  return {hash.high64, hash.low64};
+}
+
+Marks::Known Marks::firstOf(const Key& key, const Content& content, ReqId id, Time arrived, Time now,
+                            Span shareFor) {
   if (const auto it = kept_.find(key); it != kept_.end() && arrived < it->second.until) {
     const Kept& kept = it->second;
+    if (kept.content != content) return {{}, true};
     const bool isRead = key.mark.empty();
     const bool over = kept.end != End::none && (kept.end != End::done || now - kept.endedAt > shareFor);
-    if (!isRead || !over) return kept.holder;
+    if (!isRead || !over) return {kept.holder, false};
   }
-  return inTurn.second ? std::nullopt : std::optional(inTurn.first->second);
+  const auto [inTurn, isNew] = turn_.try_emplace(key, id, content);
+  if (isNew) return {};
+  if (inTurn->second.second != content) return {{}, true};
+  return {inTurn->second.first, false};
 }
 
-void Marks::keep(const Key& key, ReqId id, Moment until) {
+void Marks::keep(const Key& key, const Content& content, ReqId id, Time until) {
+  Time earlier{};
   if (const auto it = kept_.find(key); it != kept_.end()) {
     if (it->second.holder == id) {
       unplan(it->second);
@@ -65,8 +79,9 @@
     unplan(it->second);
     keys_.erase(it->second.holder);
     dropResult(it->second);
+    earlier = std::max(it->second.until, it->second.earlierUntil);
   }
-  kept_.insert_or_assign(key, Kept{id, until, {}, End::none, {}});
+  kept_.insert_or_assign(key, Kept{id, content, until, {}, End::none, {}, earlier});
   keys_.insert_or_assign(id, key);
   ends_.emplace(until, id);
 }
@@ -74,15 +89,23 @@
 void Marks::forget(ReqId id) {
   const auto it = keys_.find(id);
   if (it == keys_.end()) return;
-  dropResult(kept_.at(it->second));
-  unplan(kept_.at(it->second));
+  Kept& kept = kept_.at(it->second);
+  dropResult(kept);
+  unplan(kept);
+  // This one never ran, an earlier one may have: tries of that time, read late, are not to run.
+  if (kept.earlierUntil > Time{}) {
+    kept.until = std::exchange(kept.earlierUntil, Time{});
+    kept.end = End::errored;
+    ends_.emplace(kept.until + readLate_, id);
+    return;
+  }
   kept_.erase(it->second);
   keys_.erase(it);
 }
 
 void Marks::unplan(const Kept& kept) {
   ends_.erase({kept.until, kept.holder});
-  ends_.erase({kept.until + readLate, kept.holder});
+  ends_.erase({kept.until + readLate_, kept.holder});
 }
 
 void Marks::dropResult(Kept& kept) {
@@ -90,7 +113,7 @@
   kept.result.clear();
 }
 
-void Marks::ended(ReqId id, End end, Moment at, const std::string& result) {
+void Marks::ended(ReqId id, End end, Time at, const std::string& result) {
   const auto it = keys_.find(id);
   if (it == keys_.end()) return;
   Kept& kept = kept_.at(it->second);
@@ -104,17 +127,19 @@
   results_ += result.size();
 }
 
-void Marks::expire(Moment now) {
+void Marks::expire(Time now) {
   while (!ends_.empty() && ends_.begin()->first <= now) {
     const ReqId id = ends_.begin()->second;
     ends_.erase(ends_.begin());
     ++looks_;
     Kept& kept = kept_.at(keys_.at(id));
     if (kept.end == End::done) kept.end = End::errored, dropResult(kept);
-    if (kept.until + readLate > now)
-      ends_.emplace(kept.until + readLate, id);
-    else
+    if (kept.until + readLate_ > now) {
+      ends_.emplace(kept.until + readLate_, id);
+    } else {
+      kept.earlierUntil = {};
       forget(id);
+    }
   }
 }
 
--- a/src/server/table.h
+++ b/src/server/table.h
@@ -61,24 +61,43 @@
   };
   enum class End { none, done, errored };
 
-  // What is kept of results takes no more than this; a repeat of one beyond it is errored.
-  explicit Marks(std::size_t mostResults) : mostResults_(mostResults) {}
+  // What two tries of one req have in common; for reads, whose answers are shared by subject, nothing.
+  struct Content {
+    std::uint64_t high = 0, low = 0;
+    bool operator==(const Content&) const = default;
+  };
+  // Times are the protocol's, of the Unix clock, so that the ends of a window are the caller's and ours
+  // alike.
+  using Time = std::chrono::system_clock::time_point;
+
+  // What is kept of results takes no more than this; a repeat of one beyond it is errored. A repeat may be
+  // read this long after it came.
+  Marks(std::size_t mostResults, Span readLate) : mostResults_(mostResults), readLate_(readLate) {}
 
   static std::optional<Key> keyOf(const net::ArrivedReq& req, const std::vector<HandlerTerms>& handlers);
+  static Content contentOf(const net::ArrivedReq& req);
 
-  // The req that one with this key repeats, kept or read earlier in the same turn. A read repeats only what
-  // is under way, or ended well no longer ago than its answer may be shared.
-  std::optional<ReqId> firstOf(const Key& key, ReqId id, Moment arrived, Moment now, Span shareFor);
+  // The req that one with this key repeats, kept or read earlier in the same turn; its key may also have come
+  // with another content. A read repeats only what is under way, or ended well no longer ago than its answer
+  // may be shared.
+  struct Known {
+    std::optional<ReqId> first;
+    bool conflicts = false;
+  };
+  Known firstOf(const Key& key, const Content& content, ReqId id, Time arrived, Time now, Span shareFor);
   void turnEnds() { turn_.clear(); }
-  void keep(const Key& key, ReqId id, Moment until);
+  void keep(const Key& key, const Content& content, ReqId id, Time until);
   void forget(ReqId id);
-  void ended(ReqId id, End end, Moment at, const std::string& result);
-  void expire(Moment now);
+  void ended(ReqId id, End end, Time at, const std::string& result);
+  void expire(Time now);
   struct Kept {
     ReqId holder{};
-    Moment until{}, endedAt{};
+    Content content;
+    Time until{}, endedAt{};
     End end = End::none;
     std::string result;
+    // Of an earlier one with this key, which may have run: tries that came before this are its repeats still.
+    Time earlierUntil{};
   };
   const Kept* find(ReqId id) const;
   std::size_t size() const { return kept_.size(); }
@@ -90,13 +109,13 @@
   void unplan(const Kept& kept);
 
   const std::size_t mostResults_;
+  const Span readLate_;
   std::size_t results_ = 0;  // bytes
   std::map<Key, Kept> kept_;
   std::map<ReqId, Key> keys_;
-  std::map<Key, ReqId> turn_;                // what was read in this turn
-  std::set<std::pair<Moment, ReqId>> ends_;  // when each is to be looked at next: its time, then its last
+  std::map<Key, std::pair<ReqId, Content>> turn_;  // what was read in this turn
+  std::set<std::pair<Time, ReqId>> ends_;  // when each is to be looked at next: its time, then its last
   std::uint64_t looks_ = 0;
-  static constexpr Span readLate = std::chrono::seconds(10);
 };
 
 }  // namespace rainhook::server
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -33,5 +33,109 @@
   EXPECT_LT(std::chrono::steady_clock::now() - asked, 650ms);
 }
 
+// Repeats.
+
+net::thrift::Fields paid(const std::string& rid, const std::string& key = "k1") {
+  auto fields = Balancer::fields(rid, "pay");
+  fields["token"] = key;
+  return fields;
+}
+
+// A key that comes with another content, of the body or of the customer, is no repeat: it gets no result that
+// was not made for it, and it does not run beside the first either.
+TEST(CrossingRepeats, AKeyWithAnotherContentIsErroredAtOnce) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  client.ask(1, paid(one), "x");
+  EXPECT_EQ(w.launched(), one);
+  const auto conflicts = [&](std::int32_t number, const net::thrift::Fields& fields, const char* body) {
+    client.ask(number, fields, body);
+    const auto answer = client.answer();
+    EXPECT_EQ(answer.number, number);
+    EXPECT_EQ(answer.fields.at("why"), "its key came with another content");
+  };
+  conflicts(2, paid(two), "y");  // while the first runs
+  auto other = paid(two);
+  other["acct"] = "other";
+  conflicts(3, other, "x");
+  w.ends(one, "ok", "paid");
+  EXPECT_EQ(client.answer().body, "paid");
+  conflicts(4, paid(two), "y");  // and after it
+  client.ask(5, paid(three), "x");
+  EXPECT_EQ(client.answer().body, "paid");
+  // Both in one turn.
+  client.say(Balancer::message(6, paid(one, "k2"), "x") + Balancer::message(7, paid(two, "k2"), "y"));
+  EXPECT_EQ(client.answer().fields.at("why"), "its key came with another content");
+  EXPECT_EQ(w.launched(), one);
+  EXPECT_EQ(w.standing().onCores, 1u);
+}
+
+// The last and the first millisecond of a short window, by the caller's clock.
+TEST(CrossingRepeats, TheEndsOfAShortWindowAreTheCallersToTheMillisecond) {
+  for (int play = 0; play < 20; ++play) {
+    Peers w;
+    w.settings["classes"][1]["windowNs"] = 100'000'000;
+    w.start();
+    auto client = w.balancer();
+    auto fields = paid(one);
+    const auto came = std::stoll(fields["t0"]) - 1000;  // all three came by then and are read now
+    fields["t0"] = std::to_string(came);
+    client.ask(1, fields, "x");
+    EXPECT_EQ(w.launched(), one);
+    w.ends(one, "ok", "paid");
+    EXPECT_EQ(client.answer().body, "paid");
+    fields["rid"] = two;
+    fields["t0"] = std::to_string(came + 151);  // the window and the protocol's slack, to the last
+    client.ask(2, fields, "x");
+    EXPECT_EQ(client.answer().what, What::errored);  // its result is gone, but it does not run
+    fields["rid"] = three;
+    fields["t0"] = std::to_string(came + 153);
+    client.ask(3, fields, "x");
+    EXPECT_EQ(w.launched(), three);
+  }
+}
+
+// A repeat may be read as late as a caller may wait, where that is long.
+TEST(CrossingRepeats, ARepeatThatWasUnreadLongerThanTheWindowDoesNotRun) {
+  Peers w;
+  w.settings["classes"][1]["windowNs"] = 100'000'000;
+  w.settings["classes"][1]["aimNs"] = 20'000'000'000,
+  w.settings["classes"][1]["hardLimitNs"] = 20'000'000'000;
+  w.start();
+  auto client = w.balancer();
+  auto fields = paid(one);
+  fields["budget"] = "20000";
+  fields["t0"] = std::to_string(std::stoll(fields["t0"]) - 12'000);
+  client.ask(1, fields, "x");
+  EXPECT_EQ(w.launched(), one);
+  w.ends(one, "ok", "paid");
+  EXPECT_EQ(client.answer().what, What::done);
+  client.health();
+  EXPECT_EQ(client.answer().what, What::good);
+  fields["rid"] = two;
+  client.ask(2, fields, "x");
+  EXPECT_EQ(client.answer().what, What::errored);
+}
+
+// A newer try after the window that never runs does not make the server forget that an older one did.
+TEST(CrossingRepeats, ANewerTryThatNeverRanLeavesTheOlderOneKnown) {
+  using server::Marks;
+  Marks marks(1 << 20, 10s);
+  const Marks::Time at{1h};
+  const Marks::Key key{HandlerId{1}, "k", {}};
+  marks.keep(key, {}, ReqId{1}, at + 1s);
+  marks.ended(ReqId{1}, Marks::End::done, at, "result");
+  marks.expire(at + 2s);
+  EXPECT_FALSE(marks.firstOf(key, {}, ReqId{2}, at + 2s, at + 2s, 0s).first);
+  marks.turnEnds();
+  marks.keep(key, {}, ReqId{2}, at + 3s);
+  marks.forget(ReqId{2});
+  EXPECT_TRUE(marks.firstOf(key, {}, ReqId{3}, at + 900ms, at + 2s, 0s).first);  // came in time, read late
+  EXPECT_FALSE(marks.firstOf(key, {}, ReqId{4}, at + 1s, at + 2s, 0s).first);
+  marks.expire(at + 1h);
+  EXPECT_EQ(marks.size(), 0u);
+}
+
 }  // namespace
 }  // namespace rainhook
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -212,8 +212,8 @@
   std::this_thread::sleep_for(400ms);
   fields["rid"] = three;
   fields["t0"] = std::to_string(came + 80);
-  client.ask(3, fields);
-  EXPECT_EQ(client.answer().what, What::errored);
+  client.ask(3, fields, "x");
+  EXPECT_EQ(client.answer().fields.at("why"), "the first try failed");
   fields["rid"] = "00000000000000a4";
   fields["t0"] = std::to_string(came + 300);  // a req of its own again
   client.ask(4, fields);
@@ -239,11 +239,11 @@
 
 // Kept results are bounded: what has no room any more is errored, and room comes back when they go.
 TEST(Marks, KeepNoMoreResultsThanTheyMay) {
-  server::Marks marks(10);
-  const server::Moment at{};
+  server::Marks marks(10, 10s);
+  const server::Marks::Time at{};
   const auto key = [](const char* mark) { return server::Marks::Key{HandlerId{1}, mark, {}}; };
   for (std::uint32_t i = 1; i <= 2; ++i) {
-    marks.keep(key(i == 1 ? "a" : "b"), ReqId{i}, at + 5s);
+    marks.keep(key(i == 1 ? "a" : "b"), {}, ReqId{i}, at + 5s);
     marks.ended(ReqId{i}, server::Marks::End::done, at, "eight by");
   }
   EXPECT_EQ(marks.find(ReqId{1})->result, "eight by");
@@ -255,13 +255,13 @@
 
 // A long time of new marks: each is looked at when it is over and not before, and none stays.
 TEST(Marks, AreEmptiedByTimeAndLookedAtOnlyThen) {
-  server::Marks marks(1 << 20);
-  const server::Moment start{};
+  server::Marks marks(1 << 20, 10s);
+  const server::Marks::Time start{};
   std::size_t most = 0;
   for (std::uint32_t i = 1; i <= 5000; ++i) {
     const auto at = start + 10ms * i;
     marks.expire(at);
-    marks.keep({HandlerId{1}, std::to_string(i), {}}, ReqId{i}, at + 1s);
+    marks.keep({HandlerId{1}, std::to_string(i), {}}, {}, ReqId{i}, at + 1s);
     if (i % 3 == 0) marks.forget(ReqId{i});
     if (i % 3 == 1) marks.ended(ReqId{i}, server::Marks::End::done, at, "result");
     most = std::max(most, marks.size());
@@ -276,9 +276,9 @@
 }
 
 TEST(Marks, AResultThatComesAfterItsTimeIsNotKept) {
-  server::Marks marks(1 << 20);
-  const server::Moment at{};
-  marks.keep({HandlerId{1}, "a", {}}, ReqId{1}, at + 1s);
+  server::Marks marks(1 << 20, 10s);
+  const server::Marks::Time at{};
+  marks.keep({HandlerId{1}, "a", {}}, {}, ReqId{1}, at + 1s);
   marks.expire(at + 2s);
   marks.ended(ReqId{1}, server::Marks::End::done, at + 3s, "late");
   EXPECT_EQ(marks.find(ReqId{1})->result, "");
--- a/tests/world.h
+++ b/tests/world.h
@@ -467,14 +467,15 @@
     return first ? first->object.value("serial", std::uint64_t{99}) : 99;
   }
   void tell(const nlohmann::json& notice) { engine.say(net::jsonl::writeLine(notice)); }
-  // The next command that is no question; questions are answered.
+  // The next command that is no question, within a bound; questions are answered, and go on without end.
   nlohmann::json command() {
-    for (;;) {
+    for (const auto end = std::chrono::steady_clock::now() + 4s; std::chrono::steady_clock::now() < end;) {
       const auto line = engine.hear(net::jsonl::readLine);
       if (!line) return {{"msg", "none"}};
       if (line->object["msg"] != "sample") return line->object;
       tell({{"msg", "sampled"}, {"cookie", line->object["cookie"]}, {"stats", {0.5, 1, 0.1, 3}}});
     }
+    return {{"msg", "none"}};
   }
   std::string launched() {
     const auto line = command();
