Connections end in order: read first, half-close, then the socket; drain to the last accepted

The listener ends once nothing waits at it. - A connection was closed over unread bytes, which resets it. Clients::endOrderly is the one way now: read, end our side, discard what comes, let go at the peer's end or after 500 ms; resting clients are ended 200 ms before the stop. - Nonsense ended a connection with the answers owed on it; they are given first.

--- a/src/facts/facts.cpp
+++ b/src/facts/facts.cpp
@@ -1,6 +1,7 @@
 #include "facts/facts.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace rainhook {
 namespace {
@@ -8,7 +9,9 @@
 HandlerTerms readHandler(const Pairs& facts, std::size_t at) {
   const std::string at0 = "classes." + std::to_string(at) + ".";
   HandlerTerms terms;
-  terms.responseTarget = facts.span(at0 + "aimNs");
+  terms.responseTarget = facts.span(at0 + "aimNs", facts.span(at0 + "hardLimitNs"));
+  if (terms.responseTarget <= Span::zero())
+    facts.wrong(at0 + "aimNs", facts.text(at0 + "aimNs"), "a span over 0");
   terms.targetStretch = facts.number(at0 + "aimStretch", 0);
   terms.clientTimeout = facts.span(at0 + "hardLimitNs", terms.responseTarget);
   terms.value = facts.number(at0 + "worth", 1);
@@ -36,13 +39,15 @@
   Facts out;
   Machine& m = out.machine;
   m.cores = std::max(1, facts.count("domain.cores", 1));
+  // Where no memory is stated, or none at all, nothing is held against it.
   m.memoryKb = facts.number("domain.memoryKb", 0);
+  if (m.memoryKb <= 0) m.memoryKb = std::numeric_limits<double>::max();
   m.runFactor = facts.number("domain.runFactor", 1);
   m.keyKb = facts.number("domain.keyKb", 0);
   m.cold = facts.yes("domain.cold");
   m.coldSpeed = facts.number("invariants.coldFrom", 1);
   m.warmWithin = facts.span("invariants.warmWithinNs");
-  m.crowdPerCore = facts.number("invariants.fallMultiple", 1);
+  m.crowdPerCore = std::max(1.0, facts.number("invariants.fallMultiple", 1));
   m.crowdSpan = facts.span("invariants.fallNs");
   const Halting haltings[] = {Halting::none, Halting::drop, Halting::pause};
   m.halting = haltings[facts.choice("domain.halt", {"none", "drop", "pause"})];
--- a/src/facts/pairs.cpp
+++ b/src/facts/pairs.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <cmath>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace rainhook {
@@ -52,6 +53,16 @@
 template <typename T>
 T Pairs::parsed(const std::string& path, std::string_view value) const {
   T result{};
+  // JSON has one kind of number: 6.0 and 6e0 are the whole number 6.
+  if constexpr (std::is_integral_v<T>)
+    if (value.find_first_of(".eE") != std::string_view::npos) {
+      const auto real = parsed<double>(path, value);
+      constexpr double most = 9e18;
+      if (real != std::floor(real) || std::abs(real) > most ||
+          std::abs(real) > static_cast<double>(std::numeric_limits<T>::max()))
+        wrong(path, value, "a whole number");
+      return static_cast<T>(real);
+    }
   const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), result);
   if (error != std::errc{} || end != value.data() + value.size()) wrong(path, value, "a number");
   if constexpr (std::is_same_v<T, double>)
@@ -77,7 +88,10 @@
 
 double Pairs::number(const std::string& path, double absent) const {
   const auto value = text(path);
-  return value.empty() ? absent : parsed<double>(path, value);
+  if (value.empty()) return absent;
+  const auto out = parsed<double>(path, value);
+  if (out < 0) wrong(path, value, "a number of 0 or more");
+  return out;
 }
 
 bool Pairs::yes(const std::string& path) const { return truth(path, text(path)); }
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <stdexcept>
 
 namespace rainhook::net {
 namespace {
@@ -82,7 +83,9 @@
       hearer_(hearer),
       terms_(std::move(terms)),
       mostOpen_(most.connections),
-      mostOutput_(most.output) {}
+      mostOutput_(most.output),
+      longestWait_(terms_.clientTimeouts.empty() ? wholeWithin
+                                                 : *std::ranges::max_element(terms_.clientTimeouts)) {}
 
 void Clients::listen(const Poco::Net::SocketAddress& address) {
   listener_.bind(address, true);
@@ -140,6 +143,20 @@
 }
 
 std::size_t Clients::came(ClientId id, std::string_view bytes) {
+  try {
+    return takeFrame(id, bytes);
+  } catch (const Nonsense& nonsense) {
+    // Reqs that came whole before it are answered still; the rest of what it sends is not looked at.
+    log_.line(Matter::clients, "a connection is closed: {}", nonsense.what());
+    Client& client = clients_.at(id);
+    client.condemned = true;
+    client.begunAt.reset();
+    client.connection->discardInput();
+    return bytes.size();
+  }
+}
+
+std::size_t Clients::takeFrame(ClientId id, std::string_view bytes) {
   Client& client = clients_.at(id);
   // A caller that does not read its answers is not read until it does.
   if (full(client)) {
@@ -150,6 +167,7 @@
   const auto now = Reactor::Clock::now();
   if (!frame) {
     if (!client.begunAt) client.begunAt = now;
+    client.heardAt = now;
     return 0;
   }
   client.begunAt.reset();
@@ -160,7 +178,7 @@
 
 void Clients::readOn(ClientId id) {
   const auto it = clients_.find(id);
-  if (it != clients_.end() && !full(it->second)) it->second.connection->resume();
+  if (it != clients_.end() && !full(it->second) && !it->second.condemned) it->second.connection->resume();
 }
 
 void Clients::message(ClientId id, const thrift::Message& message) {
@@ -233,8 +251,8 @@
 
 void Clients::call(ClientId id, const thrift::Message& message) {
   Client& client = clients_.at(id);
-  // An answer under this number would be taken for the open one's.
-  if (client.owed.contains(message.sequence)) throw Nonsense("a number that is open already");
+  // An answer under this number would be taken for the open one's, so not even that is given any more.
+  if (client.owed.contains(message.sequence)) throw std::invalid_argument("a number that is open already");
   ArrivedReq req;
   req.ticket = {id, message.sequence};
   std::string fault;
@@ -320,20 +338,51 @@
   declared(ticket, internal, fields);
 }
 
-void Clients::wave(Client& client) {
-  if (client.wavedAt) return;
-  client.wavedAt = Reactor::Clock::now();
+void Clients::askToLeave(Client& client) {
+  if (client.askedAt) return;
+  client.askedAt = Reactor::Clock::now();
   client.connection->write(Writer(Kind::oneway, "closing", 0).stop().whole());
 }
 
-void Clients::wave() {
-  if (listening_) {
-    acceptable(nullptr);  // what the machine accepted for us is read and answered
-    wantAccepting(false);
-    listener_.close();
-    listening_ = false;
-  }
-  for (auto& [id, client] : clients_) wave(client);
+void Clients::drain() {
+  draining_ = true;
+  for (auto& [id, client] : clients_) askToLeave(client);
+}
+
+bool Clients::endListening() {
+  if (!listening_) return true;
+  const auto before = numbered_;
+  acceptable(nullptr);
+  if (numbered_ != before || listener_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) return false;
+  wantAccepting(false);
+  listener_.close();
+  listening_ = false;
+  return true;
+}
+
+void Clients::endResting() {
+  std::vector<ClientId> all;
+  for (const auto& [id, client] : clients_) all.push_back(id);
+  for (const ClientId id : all) endOrderly(id);
+}
+
+// The one way in which a connection is ended that the peer has not ended and that is not broken. All that the
+// peer has sent is read first, since a close over unread bytes is a reset that takes answers under way with
+// it; a req among it is served and the connection stays. Then our side ends, what still comes is not served,
+// and the socket goes when the peer has ended its side, or has not for a while.
+bool Clients::endOrderly(ClientId id) {
+  auto it = clients_.find(id);
+  if (it == clients_.end() || it->second.shutDownAt) return it == clients_.end();
+  const auto heardAt = it->second.heardAt;
+  it->second.connection->readNow();
+  it = clients_.find(id);
+  if (it == clients_.end()) return true;
+  Client& client = it->second;
+  if (!quiet(client) || client.heardAt != heardAt) return false;
+  if (client.sendsNoMore) return left(id, Ending::closedByPeer, "closed"), true;
+  client.shutDownAt = Reactor::Clock::now();
+  client.connection->shutDown();
+  return true;
 }
 
 bool Clients::quiet(const Client& client) { return client.owed.empty() && client.connection->waiting() == 0; }
@@ -350,11 +399,15 @@
 // the one used longest ago. Those passed over are in use and go behind the others, so that a herd of new
 // connections does not go through all that are open for each.
 bool Clients::closeOneIdle(Order& order) {
-  for (std::size_t left = order.size(); left > 0; --left) {
+  for (std::size_t left = order.size(); left > 0 && !order.empty(); --left) {
     const ClientId id = order.front();
     ++looks_;
-    if (quiet(clients_.at(id))) return this->left(id, Ending::closedByPeer, "idle"), true;
-    order.splice(order.end(), order, order.begin());
+    // Its place is wanted now: what it has sent is read first, but its end is not waited for.
+    if (quiet(clients_.at(id))) clients_.at(id).connection->readNow();
+    const auto it = clients_.find(id);
+    if (it == clients_.end()) return true;
+    if (quiet(it->second)) return this->left(id, Ending::closedByPeer, "idle"), true;
+    if (!order.empty() && order.front() == id) order.splice(order.end(), order, order.begin());
   }
   return false;
 }
@@ -374,26 +427,34 @@
   }
 }
 
-// Idle connections are asked to close; those that were asked and have not are closed, and so are those that
-// say nothing at first or stop within a message; paused ones are read on.
+// Idle connections are asked to leave; those that were asked and have not are ended, and so are those that
+// say nothing at first, that stop within a message, and that sent nonsense; paused ones are read on.
 void Clients::sweep() {
   sweeping_ = reactor_.after(sweepEvery, [this] { sweep(); });
   const auto now = Reactor::Clock::now();
-  std::vector<ClientId> over, ready;
+  std::vector<ClientId> over, gone, ready;
   for (auto& [id, client] : clients_) {
-    const bool wavedLong = client.wavedAt && now - std::max(*client.wavedAt, client.usedAt) > waveLasts;
-    const auto silentSince = client.begunAt ? client.begunAt
-                             : client.spoke ? std::nullopt
-                                            : std::optional(client.usedAt);
+    ready.push_back(id);
+    if (client.shutDownAt) {
+      if (now - *client.shutDownAt > lingers) gone.push_back(id);
+      continue;
+    }
+    if (!client.owed.empty()) continue;
+    // Slow is not stuck: a message may take as long as anybody waits for it, while bytes come.
     const bool stuck =
-        silentSince && client.owed.empty() && now - *silentSince > wholeWithin && !full(client);
-    if (stuck || (quiet(client) && (client.sendsNoMore || wavedLong)))
+        client.begunAt && !full(client) &&
+        (now - *client.heardAt > wholeWithin || now - *client.begunAt > wholeWithin + longestWait_);
+    const bool silent = !client.spoke && !client.begunAt && now - client.usedAt > wholeWithin;
+    if (!quiet(client)) continue;
+    const bool asked = client.askedAt &&
+                       now - std::max(*client.askedAt, client.usedAt) > (client.spoke ? askingLasts : heeded);
+    if (stuck || client.sendsNoMore || client.condemned || (asked && !client.begunAt))
       over.push_back(id);
-    else if (quiet(client) && idleAfter_ && now - client.usedAt > *idleAfter_)
-      wave(client);
-    ready.push_back(id);
+    else if (silent || (idleAfter_ && now - client.usedAt > *idleAfter_) || draining_)
+      askToLeave(client);
   }
-  for (const ClientId id : over) left(id, Ending::closedByPeer, "idle");
+  for (const ClientId id : over) endOrderly(id);
+  for (const ClientId id : gone) left(id, Ending::closedByPeer, "idle");
   boundOutput();
   for (const ClientId id : ready) readOn(id);
   if (listening_ && clients_.size() < mostOpen_) wantAccepting(true);
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -79,8 +79,13 @@
   bool good() const { return good_; }
   void saySignal(double value) { signal_ = value; }
   void closeIdleAfter(Span idle) { idleAfter_ = idle; }
-  // No new connection is taken, and every caller is asked to leave once it has its answers.
-  void wave();
+  // Connection draining: every caller is asked to leave once it has its answers. New connections are still
+  // taken, since a caller may be on its way.
+  void drain();
+  // The listener ends, once all that the machine accepted is taken; false while there is more.
+  bool endListening();
+  // Connections on which nothing is open are ended from our side, without waiting for the callers' goodwill.
+  void endResting();
   std::size_t open() const { return clients_.size(); }
   // How many connections were gone through so far to make room for others.
   std::uint64_t looks() const { return looks_; }
@@ -91,8 +96,12 @@
     std::shared_ptr<Connection> connection;
     std::map<std::int32_t, ReqId> owed;  // a req leaves when it is answered or its caller has left
     Reactor::Clock::time_point usedAt;
-    std::optional<Reactor::Clock::time_point> wavedAt, begunAt;  // begun: a message that is not whole yet
+    std::optional<Reactor::Clock::time_point> askedAt;     // to leave, by `closing`
+    std::optional<Reactor::Clock::time_point> begunAt;     // a message that is not whole yet
+    std::optional<Reactor::Clock::time_point> heardAt;     // the last bytes of it
+    std::optional<Reactor::Clock::time_point> shutDownAt;  // our side has ended, the peer's has not
     bool sendsNoMore = false, spoke = false;
+    bool condemned = false;  // it sent nonsense: what it is owed is answered, nothing more is read
     Order::iterator place;
   };
 
@@ -100,6 +109,7 @@
   void wantAccepting(bool wanted);
   void take(Poco::Net::StreamSocket socket);
   std::size_t came(ClientId id, std::string_view bytes);
+  std::size_t takeFrame(ClientId id, std::string_view bytes);
   void message(ClientId id, const thrift::Message& message);
   void call(ClientId id, const thrift::Message& message);
   bool readReq(const thrift::Message& message, ArrivedReq& req, std::string& fault) const;
@@ -108,7 +118,8 @@
   std::string good(std::string_view method, std::int32_t number, std::string_view result) const;
   // One of the exceptions that the service declares.
   void declared(Ticket ticket, std::int16_t exception, const thrift::Fields& fields);
-  void wave(Client& client);
+  void askToLeave(Client& client);
+  bool endOrderly(ClientId id);
   void sweep();
   void boundOutput();
   void readOn(ClientId id);
@@ -120,7 +131,10 @@
 
   static constexpr std::size_t longestFrame = 8 * 1024, mostWaiting = 32 * 1024, mostOwed = 32;
   static constexpr int kernelHolds = 64 * 1024;
-  static constexpr Span sweepEvery = std::chrono::milliseconds(100), waveLasts = std::chrono::seconds(1),
+  // `closing` is heeded within 50 ms, by the protocol; a peer that has not ended its side a while after we
+  // ended ours is not waited for.
+  static constexpr Span sweepEvery = std::chrono::milliseconds(100), askingLasts = std::chrono::seconds(1),
+                        heeded = std::chrono::milliseconds(150), lingers = std::chrono::milliseconds(500),
                         wholeWithin = std::chrono::seconds(2), clocksDiffer = std::chrono::seconds(5);
 
   Reactor& reactor_;
@@ -131,7 +145,8 @@
   const std::size_t mostOpen_, mostOutput_;
   Poco::Net::ServerSocket listener_;
   Poco::NObserver<Clients, Poco::Net::ReadableNotification> onAccept_{*this, &Clients::acceptable};
-  bool listening_ = false, accepting_ = false;
+  bool listening_ = false, accepting_ = false, draining_ = false;
+  const Span longestWait_;              // of any caller: a message that takes longer to come is for nobody
   std::map<ClientId, Client> clients_;  // a client leaves when its connection ends
   Order silent_, spoken_;  // of them, those that never spoke and the others, used longest ago first
   std::uint64_t looks_ = 0;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -79,6 +79,28 @@
   take([this] { feed(); });  // what came before the pause rings no bell
 }
 
+void Connection::readNow() {
+  const auto self = shared_from_this();
+  if (state_ == State::open && reading_) take([this] { read(); });
+}
+
+void Connection::discardInput() {
+  discarding_ = true;
+  from_ = to_ = 0;
+  paused_ = false;
+  if (state_ == State::open && !ended_) wantReading(true);
+}
+
+void Connection::shutDown() {
+  const auto self = shared_from_this();
+  discardInput();
+  try {
+    socket_.shutdownSend();
+  } catch (const Poco::Exception& error) {
+    end(Ending::broken, error.displayText());
+  }
+}
+
 void Connection::readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&) {
   const auto self = shared_from_this();
   if (state_ == State::open) take([this] { read(); });
@@ -112,6 +134,10 @@
       if (callbacks_.halfClosed) return callbacks_.halfClosed();
       return end(Ending::closedByPeer, "closed by the peer");
     }
+    if (discarding_) {
+      if (static_cast<std::size_t>(got) < space) return;
+      continue;
+    }
     to_ += static_cast<std::size_t>(got);
     feed();
     if (static_cast<std::size_t>(got) < space) return;
@@ -119,9 +145,9 @@
 }
 
 void Connection::feed() {
-  while (state_ == State::open && !paused_ && from_ < to_) {
+  while (state_ == State::open && !paused_ && !discarding_ && from_ < to_) {
     const std::size_t used = callbacks_.came({in_->data() + from_, to_ - from_});
-    if (used == 0) return;
+    if (used == 0 || discarding_) return;
     from_ += used;
   }
 }
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -54,6 +54,12 @@
   bool sentAny() const { return sentAny_; }
   void pause();
   void resume();
+  // Takes what the system holds of the peer's bytes now, as far as one turn reads.
+  void readNow();
+  // What comes from now on is read and thrown away; only its end, or a break, is told.
+  void discardInput();
+  // Half-close: ends our side, after all that was sent; what comes is discarded. Nothing may wait to be sent.
+  void shutDown();
   void close();
 
  private:
@@ -84,7 +90,7 @@
   std::size_t from_ = 0, to_ = 0;
   Outgoing out_;
   bool reading_ = false, writing_ = false, paused_ = false, ended_ = false, sentAny_ = false;
-  bool flushing_ = false, watched_ = false;
+  bool flushing_ = false, watched_ = false, discarding_ = false;
   Reactor::Timer late_;
   Poco::NObserver<Connection, Poco::Net::ReadableNotification> onRead_{*this, &Connection::readable};
   Poco::NObserver<Connection, Poco::Net::WritableNotification> onWrite_{*this, &Connection::writable};
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -18,7 +18,15 @@
   const auto it = line.find(name);
   return it != line.end() && it->is_string() ? it->get<std::string>() : std::string();
 }
-std::string blob(const json& line) { return jsonl::fromBase64(text(line, "blob")); }
+// None where it is no base64. A numbered notice is taken all the same: thrown at, it would come again on each
+// new link, for ever.
+std::optional<std::string> blob(const json& line) {
+  try {
+    return jsonl::fromBase64(text(line, "blob"));
+  } catch (const Nonsense&) {
+    return std::nullopt;
+  }
+}
 
 }  // namespace
 
@@ -37,6 +45,8 @@
   callbacks.ended = [this](Ending, const std::string& why) { lost(why); };
   greeted_ = false;
   waitingSince_.reset();
+  // A link that nobody holds any more at its other end is never greeted; the next one takes its place.
+  greetingDue_ = reactor_.after(answersWithin, [this] { breakOff("no greeting"); });
   connection_ = Connection::to(address_, reactor_, pool_, std::move(callbacks));
   connection_->write(jsonl::writeLine({{"msg", "subscribe"}, {"serial", lastNotice_}}));
 }
@@ -48,7 +58,13 @@
   connect();
 }
 
+void Engine::breakOff(const std::string& why) {
+  connection_->close();
+  lost(why);
+}
+
 void Engine::lost(const std::string& why) {
+  greetingDue_.cancel();
   if (!std::exchange(lostSaid_, true)) log_.line(Matter::engine, "the link to the engine is lost: {}", why);
   greeted_ = false;
   connection_.reset();
@@ -72,10 +88,8 @@
 }
 void Engine::ask(std::uint64_t question) {
   asked_ = question, askedAt_ = Reactor::Clock::now();
-  if (greeted_ && waitingSince_ && askedAt_ - *waitingSince_ > answersWithin) {
-    connection_->close();
-    return lost("its questions are not answered");
-  }
+  if (greeted_ && waitingSince_ && askedAt_ - *waitingSince_ > answersWithin)
+    return breakOff("its questions are not answered");
   if (!waitingSince_) waitingSince_ = askedAt_;
   say({{"msg", "sample"}, {"cookie", std::to_string(question)}});
 }
@@ -105,10 +119,12 @@
     else if (how != "failed")
       log_.line(Matter::engine, "a run ended in an unknown way: {}", how);
     auto result = blob(line);
-    if (fresh(line)) hearer_.runEnded(name, outcome, millis(line), std::move(result));
+    if (!result && outcome == Outcome::done) outcome = Outcome::errored;
+    if (fresh(line)) hearer_.runEnded(name, outcome, millis(line), std::move(result).value_or(""));
   } else if (kind == "request") {
     auto body = blob(line);
-    if (fresh(line)) hearer_.callWanted(name, lastNotice_, std::move(body));
+    if (!fresh(line)) return;
+    body ? hearer_.callWanted(name, lastNotice_, std::move(*body)) : hearer_.commandRefused(name, kind);
   } else if (kind == "aside") {
     fresh(line);
   } else if (kind == "sampled") {
@@ -126,6 +142,7 @@
     hearer_.gauges(question, values);
   } else if (kind == "greeting") {
     greeted_ = catchingUp_ = true;
+    greetingDue_.cancel();
     lostSaid_ = false;
     linkedAt_ = Reactor::Clock::now();
     log_.line(Matter::engine, "the link to the engine is up; it was {} when it started", how);
@@ -135,7 +152,8 @@
     log_.line(Matter::engine, "the engine refused {} for {}", how, name);
     hearer_.commandRefused(name, how);
   } else {
-    throw Nonsense("an unknown notice: " + kind.substr(0, 40));
+    log_.line(Matter::engine, "an unknown notice: {}", kind.substr(0, 40));
+    if (line.contains("serial")) fresh(line);
   }
 }
 
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -53,6 +53,7 @@
   bool fresh(const nlohmann::json& line);
   bool say(const nlohmann::json& line);
   void lost(const std::string& why);
+  void breakOff(const std::string& why);
 
   static constexpr Reactor::Wait again = std::chrono::milliseconds(50),
                                  answersWithin = std::chrono::seconds(3);
@@ -68,7 +69,7 @@
   std::uint64_t lastNotice_ = 0, asked_ = 0;
   Reactor::Clock::time_point askedAt_{}, readUntil_{}, linkedAt_{};
   std::optional<Reactor::Clock::time_point> waitingSince_;  // of the first question since it last spoke
-  Reactor::Timer retry_;
+  Reactor::Timer retry_, greetingDue_;
 };
 
 }  // namespace rainhook::net
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -126,6 +126,17 @@
   return out;
 }
 
+std::string segment(std::string_view text) {
+  std::string out;
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    const bool plain =
+        byte < 128 && (std::isalnum(byte) || std::string_view("-._~").find(c) != std::string_view::npos);
+    out += plain ? std::string(1, c) : fmt::format("%{:02X}", byte);
+  }
+  return out;
+}
+
 std::string request(std::string_view method, std::string_view path, std::string_view host,
                     const Headers& headers, std::string_view body) {
   std::string out = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", method, path, host);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -30,6 +30,8 @@
 std::optional<Response> readResponse(std::string_view bytes);
 
 using Headers = std::vector<std::pair<std::string_view, std::string>>;
+// One segment of a path, percent-encoded (RFC 3986, 2.3).
+std::string segment(std::string_view text);
 std::string request(std::string_view method, std::string_view path, std::string_view host,
                     const Headers& headers, std::string_view body);
 
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -4,8 +4,9 @@
 
 namespace rainhook::net {
 
-List::List(Reactor& reactor, BufferPool& pool, Log& log, const Connection::Address& address, std::string name)
-    : reactor_(reactor), pool_(pool), log_(log), address_(address), name_(std::move(name)) {}
+List::List(Reactor& reactor, BufferPool& pool, Log& log, const Connection::Address& address, std::string name,
+           std::uint64_t chance)
+    : reactor_(reactor), pool_(pool), log_(log), address_(address), name_(std::move(name)), chance_(chance) {}
 
 void List::takesWork(bool does) {
   if (std::exchange(does_, does) != does || numbered_ == 0) startOver();
@@ -19,6 +20,7 @@
 void List::startOver() {
   for (auto& [number, report] : reports_) report.connection->close();
   reports_.clear();
+  changedAt_ = Reactor::Clock::now();
   report();
 }
 
@@ -34,10 +36,18 @@
   callbacks.ended = [this, number](Ending, const std::string& why) { settle(number, false, why); };
   Report& report = reports_[number];
   report.connection = Connection::to(address_, reactor_, pool_, std::move(callbacks));
-  report.connection->write(http::request("PUT", "/roster/" + name_, address_.toString(), {},
+  report.connection->write(http::request("PUT", "/roster/" + http::segment(name_), address_.toString(), {},
                                          does_ ? R"({"duty":"on"})" : R"({"duty":"off"})"));
   report.patience = reactor_.after(patience, [this, number] { settle(number, false, "no answer"); });
-  next_ = reactor_.after(every, [this] { this->report(); });
+  // A report that was closed may have been read all the same, and count after the one that took its place:
+  // the news is said again soon, as long as that may be.
+  const bool news = numbered_ > 1 && Reactor::Clock::now() - changedAt_ < patience;
+  next_ = reactor_.after(spread(news ? again : every), [this] { this->report(); });
+}
+
+// From three quarters of it to all of it.
+Reactor::Wait List::spread(Reactor::Wait wait) {
+  return wait - wait / 4 * static_cast<Reactor::Wait::rep>(chance_(256)) / 256;
 }
 
 void List::settle(std::uint64_t number, bool counted, const std::string& why) {
@@ -50,7 +60,7 @@
   reached_ = counted;
   // One that broke is made again soon; one that was never answered may have counted, and the next is on its
   // way.
-  if (!counted && number == numbered_) next_ = reactor_.after(again, [this] { report(); });
+  if (!counted && number == numbered_) next_ = reactor_.after(spread(again), [this] { report(); });
 }
 
 }  // namespace rainhook::net
--- a/src/net/list.h
+++ b/src/net/list.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <pcg_random.hpp>
 #include <string>
 
 #include "net/connection.h"
@@ -16,7 +17,10 @@
 
 class List {
  public:
-  List(Reactor& reactor, BufferPool& pool, Log& log, const Connection::Address& address, std::string name);
+  // `chance` spreads its reports, so that servers that started together, or lost the list together, do not
+  // report in step.
+  List(Reactor& reactor, BufferPool& pool, Log& log, const Connection::Address& address, std::string name,
+       std::uint64_t chance);
 
   void takesWork(bool does);  // reported at once, and from then on
   void moveTo(const Connection::Address& address);
@@ -24,6 +28,7 @@
  private:
   void startOver();
   void report();
+  Reactor::Wait spread(Reactor::Wait wait);
   void settle(std::uint64_t number, bool counted, const std::string& why);
 
   static constexpr Reactor::Wait every = std::chrono::milliseconds(800),
@@ -42,6 +47,8 @@
   bool does_ = true, reached_ = true;
   std::map<std::uint64_t, Report> reports_;  // a report leaves when it is answered, breaks or is given up
   std::uint64_t numbered_ = 0;
+  pcg32 chance_;
+  Reactor::Clock::time_point changedAt_{};
   Reactor::Timer next_;
 };
 
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -30,11 +30,11 @@
 
 // Descriptors: half of them are the balancers' to open, and a few more for what they have closed and we have
 // not yet; some are for the listener, the links, signals and the log; all others are for calls.
-constexpr std::size_t ownDescriptors = 14;
-std::size_t forBalancers(std::size_t all) { return all / 2 + all / 16; }
-std::size_t forCalls(std::size_t all) {
-  return std::max(all / 8, all - std::min(all, forBalancers(all) + ownDescriptors));
+constexpr std::size_t ownDescriptors = 14, fewestForCalls = 2;
+std::size_t forBalancers(std::size_t all) {
+  return std::min(all / 2 + all / 16, all - ownDescriptors - fewestForCalls);
 }
+std::size_t forCalls(std::size_t all) { return all - forBalancers(all) - ownDescriptors; }
 
 // Memory: a quarter of it for reqs in hand, each with a body of 2 kB and a reply of 4 kB at most; an eighth
 // for what waits to be sent, and one for the results that are kept.
@@ -53,7 +53,7 @@
       engine_(reactor, pool_, log, *this, net::Connection::Address(place_.engine)),
       marks_(megabytes(place_.memoryMb) / 8, longestWait(facts_)) {
   if (const auto address = addressOf(place_.list))
-    list_ = std::make_unique<net::List>(reactor, pool_, log, *address, place_.name);
+    list_ = std::make_unique<net::List>(reactor, pool_, log, *address, place_.name, chance());
 }
 
 Server::~Server() {
@@ -82,7 +82,7 @@
   servers_.moveTo(addressOf(place.next));
   const auto list = addressOf(place.list);
   if (list && list_) return list_->moveTo(*list);
-  list_ = list ? std::make_unique<net::List>(reactor_, pool_, log_, *list, place.name) : nullptr;
+  list_ = list ? std::make_unique<net::List>(reactor_, pool_, log_, *list, place.name, chance()) : nullptr;
   if (list_) list_->takesWork(clients_.good());
 }
 
@@ -112,6 +112,11 @@
   if (module_) tell(CallShare{part});
 }
 
+// Told from others that were given one seed by the name.
+std::uint64_t Server::chance() const {
+  return static_cast<std::uint64_t>(place_.seed) ^ std::hash<std::string>{}(place_.name);
+}
+
 Span Server::sinceOpened() const { return net::Reactor::Clock::now() - origin_; }
 
 // What happens after this turn's question to the module is not to wait for the next socket or timer.
@@ -421,7 +426,8 @@
 }
 
 // Leaving: the module hears that it ends a little before the stop; late in it callers are asked to close
-// their connections, and the end comes once none is left, or just before the stop.
+// their connections and the listener ends, then connections that still rest are ended from our side, and the
+// end comes once none is left, or just before the stop.
 void Server::leave() {
   if (stopAt_) return;
   stopAt_ = net::Reactor::Clock::now() + place_.stopAfter;
@@ -435,8 +441,11 @@
 void Server::leaveStep() {
   leaving_ = reactor_.after(leaveStepEvery, [this] { leaveStep(); });
   const auto left = *stopAt_ - net::Reactor::Clock::now();
-  if (left <= waveBefore && !std::exchange(waved_, true)) clients_.wave();
-  if ((waved_ && clients_.open() == 0) || left <= endMargin / 2) {
+  if (left <= drainBefore && !std::exchange(draining_, true)) clients_.drain();
+  const bool listens = !draining_ || !clients_.endListening();
+  // By now the module has given up on all that it was asked; nothing waits but who does not go.
+  if (left <= endRestingBefore) clients_.endResting();
+  if ((!listens && clients_.open() == 0) || left <= endMargin / 2) {
     log_.line(net::Matter::drain, "leaves with {} reqs in hand, {} connections", table_.size(),
               clients_.open());
     reactor_.stop();
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -91,10 +91,12 @@
   void report();
   void leaveStep();
   Span sinceOpened() const;
+  std::uint64_t chance() const;
 
   static constexpr Span gaugesWait = std::chrono::milliseconds(8), reportEvery = std::chrono::seconds(5),
                         endMargin = std::chrono::milliseconds(150),
-                        waveBefore = std::chrono::milliseconds(700),
+                        drainBefore = std::chrono::milliseconds(700),
+                        endRestingBefore = std::chrono::milliseconds(200),
                         leaveStepEvery = std::chrono::milliseconds(10);
 
   net::Reactor& reactor_;
@@ -129,8 +131,8 @@
   double part_ = 1;                                // of the stated share of calls
   net::Reactor::Timer again_, reporting_, leaving_;
   std::optional<Moment> stopAt_;
-  std::optional<double> wantingCore_;   // as the engine said last
-  bool fresh_ = false, waved_ = false;  // fresh: the module has not been asked yet
+  std::optional<double> wantingCore_;      // as the engine said last
+  bool fresh_ = false, draining_ = false;  // fresh: the module has not been asked yet
 };
 
 }  // namespace rainhook::server
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -33,6 +33,123 @@
   EXPECT_LT(std::chrono::steady_clock::now() - asked, 650ms);
 }
 
+TEST(CrossingSettings, NumbersAreReadInEveryFormOfJsonAndWhatIsNoneIsRefusedByItsKey) {
+  auto settings = Peers().settings;
+  settings["domain"]["cores"] = 6.0;
+  settings["classes"][0]["aimNs"] = 1.8e9;
+  settings["domain"].erase("memoryKb");
+  const Facts facts = readFacts(pairsOfJson(settings));
+  EXPECT_EQ(facts.machine.cores, 6);
+  EXPECT_EQ(facts.handlers[0].responseTarget, 1800ms);
+  EXPECT_GT(facts.machine.memoryKb, 1e9);  // none stated: none held against
+  for (const auto& [key, value] : std::map<std::string, nlohmann::json>{{"/domain/cores", 1.5},
+                                                                        {"/domain/memoryKb", -1},
+                                                                        {"/classes/0/aimNs", 0},
+                                                                        {"/classes/1/worth", "much"}}) {
+    auto bad = settings;
+    bad[nlohmann::json::json_pointer(key)] = value;
+    if (key == "/classes/0/aimNs") bad["classes"][0].erase("hardLimitNs");
+    try {
+      readFacts(pairsOfJson(bad));
+      ADD_FAILURE() << key;
+    } catch (const FactsError& fault) {
+      auto path = key.substr(1);
+      std::replace(path.begin(), path.end(), '/', '.');
+      EXPECT_NE(std::string(fault.what()).find(path), std::string::npos) << fault.what();
+    }
+  }
+  EXPECT_EQ(net::http::segment("n3"), "n3");
+  EXPECT_EQ(net::http::segment("a b/\xc3\xa9?"), "a%20b%2F%C3%A9%3F");
+}
+
+// Pieces and closes.
+
+// Nonsense after a whole req, in one segment: the req is answered, then the connection ends.
+TEST(CrossingClose, AReqBeforeNonsenseIsAnsweredAndTheConnectionEndsAfterIt) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  client.say(Balancer::message(1, Balancer::fields(one), "x") + std::string(64, '\xff'));
+  EXPECT_EQ(w.launched(), one);
+  client.say(Balancer::message(2, Balancer::fields(two), "y"));  // after nonsense nothing is read
+  w.ends(one);
+  EXPECT_EQ(client.answer().what, What::done);
+  EXPECT_TRUE(client.endsNow());
+  auto other = w.balancer();
+  other.ask(1, Balancer::fields(three));
+  EXPECT_EQ(w.launched(), three);
+}
+
+// Slow is not stuck: bytes come all the time, for longer than one that stops is waited for.
+TEST(CrossingPieces, ASlowWriterIsReadToItsEnd) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  auto fields = Balancer::fields(one);
+  fields["t0"] = std::to_string(std::stoll(fields["t0"]) + 2500);
+  const auto message = Balancer::message(1, fields, "x");
+  const auto step = message.size() / 25 + 1;
+  for (std::size_t at = 0; at < message.size(); at += step) {
+    client.say(std::string_view(message).substr(at, step));
+    std::this_thread::sleep_for(110ms);
+  }
+  EXPECT_EQ(w.launched(), one);
+  w.ends(one);
+  EXPECT_EQ(client.answer().what, What::done);
+}
+
+// The engine's link.
+
+// A link that is taken and never greeted, as one whose other end has gone, gives way to a new one.
+TEST(CrossingEngine, ALinkThatIsNeverGreetedIsMadeAgain) {
+  Peers w;
+  w.start(false);
+  auto dead = Line::accept(w.engineAt);
+  EXPECT_TRUE(dead.hear(net::jsonl::readLine));
+  w.link();
+  auto client = w.balancer();
+  client.ask(1, Balancer::fields(one));
+  EXPECT_EQ(w.launched(), one);
+}
+
+// A numbered notice that can't be read is taken all the same: it would come again on every link.
+TEST(CrossingEngine, ANoticeThatCannotBeReadEndsItsReqAndNotTheLink) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  client.ask(1, Balancer::fields(one));
+  EXPECT_EQ(w.launched(), one);
+  w.tell({{"msg", "remark"}, {"serial", ++w.notices}});
+  w.tell({{"msg", "outcome"}, {"serial", ++w.notices}, {"call", one}, {"how", "ok"}, {"blob", "%%%%"}});
+  EXPECT_EQ(client.answer().what, What::errored);
+  client.ask(2, Balancer::fields(two));
+  EXPECT_EQ(w.launched(), two);
+  w.tell({{"msg", "request"}, {"serial", ++w.notices}, {"call", two}, {"blob", "%%%%"}});
+  EXPECT_EQ(client.answer().what, What::errored);
+  client.ask(3, Balancer::fields(three));
+  EXPECT_EQ(w.launched(), three);
+}
+
+// The list.
+
+// What was said before may count after the news that took its place, so the news is said again soon.
+TEST(CrossingList, TheNewsIsSaidAgainSoon) {
+  Peers w;
+  w.start();
+  const auto report = [&] {
+    auto at = Line::accept(w.listAt);
+    const auto asked = at.hear(Asked::read);
+    at.say("HTTP/1.1 204 No Content\r\n\r\n");
+    return asked ? asked->body : std::string();
+  };
+  EXPECT_EQ(report(), R"({"duty":"on"})");
+  ::kill(::getpid(), SIGTERM);
+  std::string said;
+  while (said != R"({"duty":"off"})") said = report();
+  EXPECT_EQ(report(), R"({"duty":"off"})");  // before it leaves, half a second after the notice
+  w.waitForEnd();
+}
+
 // Repeats.
 
 net::thrift::Fields paid(const std::string& rid, const std::string& key = "k1") {
