--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -457,7 +457,9 @@
   for (const ClientId id : gone) left(id, Ending::closedByPeer, "idle");
   boundOutput();
   for (const ClientId id : ready) readOn(id);
-  if (listening_ && clients_.size() < mostOpen_) wantAccepting(true);
+  // Accepting goes on where there is a place, or one that an idle connection may give way for.
+  const auto idle = [](const auto& entry) { return quiet(entry.second); };
+  if (listening_ && (clients_.size() < mostOpen_ || std::ranges::any_of(clients_, idle))) wantAccepting(true);
 }
 
 }  // namespace rainhook::net
