A silent list takes five descriptors at most, and hears of the leaving before the end

Seen by reading, then forced: CrossingList.OneThatNeverAnswers... on the program before this has more than five reports open (its 'sixth' comes while the first is not given up). Cause: List::report, since news is said again each 250 ms for 2.5 s, each on a connection that waits 2.5 s: some eleven at once, where server.cpp sets 14 descriptors aside for everything of ours. Change: five are open at most. Seen: CrossingProgram.ANoticeBeforeTheServerStands..., log of the program before this: n1 serves at 127.0.0.1:42483 told to leave within 600 ms, 0 reqs in hand leaves with 0 reqs in hand, 0 connections all in one millisecond, with 'on' the last thing that the list heard. Cause: Server::leaveStep, called from within leave(), before the module had heard of the notice. Change: the first step comes 10 ms later, and while there is time (to 200 ms before the stop) the process waits until the list has counted the news. Ruled out: the pipe that holds the start (the notice was heard, 'told to leave'). Rig: a process of the program no longer inherits what the test has open, which counted against its limit on descriptors.

--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -21,10 +21,16 @@
   for (auto& [number, report] : reports_) report.connection->close();
   reports_.clear();
   changedAt_ = Reactor::Clock::now();
+  heard_ = false;
   report();
 }
 
 void List::report() {
+  // A report that was closed may have been read all the same, and count after the one that took its place:
+  // the news is said again soon, as long as that may be.
+  const bool news = numbered_ > 0 && Reactor::Clock::now() - changedAt_ < patience;
+  next_ = reactor_.after(spread(news ? again : every), [this] { this->report(); });
+  if (reports_.size() >= mostOpen) return;  // these say the same, and may still be answered
   const auto number = ++numbered_;
   Callbacks callbacks;
   callbacks.came = [this, number](std::string_view bytes) -> std::size_t {
@@ -39,10 +45,6 @@
   report.connection->write(http::request("PUT", "/roster/" + http::segment(name_), address_.toString(), {},
                                          does_ ? R"({"duty":"on"})" : R"({"duty":"off"})"));
   report.patience = reactor_.after(patience, [this, number] { settle(number, false, "no answer"); });
-  // A report that was closed may have been read all the same, and count after the one that took its place:
-  // the news is said again soon, as long as that may be.
-  const bool news = numbered_ > 1 && Reactor::Clock::now() - changedAt_ < patience;
-  next_ = reactor_.after(spread(news ? again : every), [this] { this->report(); });
 }
 
 // From three quarters of it to all of it.
@@ -58,6 +60,7 @@
   if (!counted && reached_) log_.line(Matter::list, "a report to the list did not count: {}", why);
   if (counted && !reached_) log_.line(Matter::list, "the list is reached again");
   reached_ = counted;
+  heard_ = heard_ || counted;
   // One that broke is made again soon; one that was never answered may have counted, and the next is on its
   // way.
   if (!counted && number == numbered_) next_ = reactor_.after(spread(again), [this] { report(); });
--- a/src/net/list.h
+++ b/src/net/list.h
@@ -24,6 +24,8 @@
 
   void takesWork(bool does);  // reported at once, and from then on
   void moveTo(const Connection::Address& address);
+  // Whether what was said last has counted.
+  bool heard() const { return heard_; }
 
  private:
   void startOver();
@@ -34,6 +36,9 @@
   static constexpr Reactor::Wait every = std::chrono::milliseconds(800),
                                  again = std::chrono::milliseconds(250),
                                  patience = std::chrono::milliseconds(2500);
+  // Open at once: a list that takes connections and answers none is not to use up the descriptors that are
+  // set aside. At the ordinary pace there are never more.
+  static constexpr std::size_t mostOpen = 5;
   struct Report {
     std::shared_ptr<Connection> connection;
     Reactor::Timer patience;
@@ -44,7 +49,7 @@
   Log& log_;
   Connection::Address address_;
   const std::string name_;
-  bool does_ = true, reached_ = true;
+  bool does_ = true, reached_ = true, heard_ = false;
   std::map<std::uint64_t, Report> reports_;  // a report leaves when it is answered, breaks or is given up
   std::uint64_t numbered_ = 0;
   pcg32 chance_;
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -427,7 +427,7 @@
 
 // Leaving: the module hears that it ends a little before the stop; late in it callers are asked to close
 // their connections and the listener ends, then connections that still rest are ended from our side, and the
-// end comes once none is left, or just before the stop.
+// end comes once none is left and the list has heard of it, or just before the stop.
 void Server::leave() {
   if (stopAt_) return;
   stopAt_ = net::Reactor::Clock::now() + place_.stopAfter;
@@ -435,7 +435,7 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(place_.stopAfter).count(), table_.size());
   openModule(facts_.machine.cold, 0s);
   tell(LeaveNotice{std::max<Span>(place_.stopAfter - endMargin, 0s)});
-  leaveStep();
+  leaving_ = reactor_.after(leaveStepEvery, [this] { leaveStep(); });  // once the module has heard of it
 }
 
 void Server::leaveStep() {
@@ -445,7 +445,9 @@
   const bool listens = !draining_ || !clients_.endListening();
   // By now the module has given up on all that it was asked; nothing waits but who does not go.
   if (left <= endRestingBefore) clients_.endResting();
-  if ((!listens && clients_.open() == 0) || left <= endMargin / 2) {
+  // Nor does it go, while there is time, before the list has heard that it does.
+  const bool told = !list_ || list_->heard() || left <= endRestingBefore;
+  if ((!listens && clients_.open() == 0 && told) || left <= endMargin / 2) {
     log_.line(net::Matter::drain, "leaves with {} reqs in hand, {} connections", table_.size(),
               clients_.open());
     reactor_.stop();
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -9,6 +9,12 @@
 using What = Answer::What;
 const std::string one = "00000000000000b1", two = "00000000000000b2", three = "00000000000000b3";
 
+net::thrift::Fields paid(const std::string& rid, const std::string& key = "k1") {
+  auto fields = Balancer::fields(rid, "pay");
+  fields["token"] = key;
+  return fields;
+}
+
 // Settings.
 
 TEST(CrossingSettings, AReqThatDoesNotTellItsPatienceIsServedWhereTheSettingsSaySo) {
@@ -150,12 +156,48 @@
   w.waitForEnd();
 }
 
-// Repeats.
+// A list that takes connections and answers none, while there is news to be said: what is open stays bounded.
+TEST(CrossingList, OneThatNeverAnswersUsesUpNoDescriptors) {
+  Peers w;
+  w.start();
+  std::vector<Line> reports;
+  for (int i = 0; i < 5; ++i) {
+    reports.push_back(Line::accept(w.listAt));
+    ASSERT_TRUE(reports.back().hear(Asked::read));
+  }
+  // The first is given up after 2.5 s; until then there is no sixth.
+  reports.push_back(Line::accept(w.listAt));
+  ASSERT_TRUE(reports.back().hear(Asked::read));
+  reports.front().socket().setBlocking(false);
+  char none = 0;
+  EXPECT_EQ(reports.front().socket().receiveBytes(&none, 1), 0);  // an end; nothing to read would throw
+}
 
-net::thrift::Fields paid(const std::string& rid, const std::string& key = "k1") {
-  auto fields = Balancer::fields(rid, "pay");
-  fields["token"] = key;
-  return fields;
+// Three hundred servers that lost the list at once, and were started at once, do not come back to it in step.
+TEST(CrossingList, ThreeHundredReportsAreSpreadOverTheirInterval) {
+  net::Reactor reactor;
+  net::BufferPool pool;
+  net::Log log;
+  Poco::Net::ServerSocket listAt = Peers::any();
+  std::vector<std::unique_ptr<net::List>> fleet;
+  constexpr std::size_t size = 300;
+  for (std::size_t i = 0; i < size; ++i)
+    fleet.push_back(
+        std::make_unique<net::List>(reactor, pool, log, listAt.address(), "n" + std::to_string(i), i));
+  std::vector<std::chrono::steady_clock::time_point> cameAt;
+  net::Reactor::Timer looking;
+  const std::function<void()> look = [&] {
+    for (; listAt.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ); listAt.acceptConnection().close())
+      cameAt.push_back(std::chrono::steady_clock::now());  // one that breaks is made again in 250 ms at most
+    cameAt.size() < 4 * size ? void(looking = reactor.after(1ms, look)) : reactor.stop();
+  };
+  look();
+  for (const auto& list : fleet) list->takesWork(true);
+  reactor.run();
+  // The middle eight in ten of the fourth round; three times 62 ms of spread lie behind them.
+  EXPECT_GT(cameAt[3 * size + size * 9 / 10] - cameAt[3 * size + size / 10], 40ms);
+  fleet.clear();
+  reactor.letGo();
 }
 
 // A key that comes with another content, of the body or of the customer, is no repeat: it gets no result that
@@ -256,3 +298,5 @@
 
 }  // namespace
 }  // namespace rainhook
+// Repeats.
+
--- a/tests/fleet/crossing_test.cpp
+++ b/tests/fleet/crossing_test.cpp
@@ -1,5 +1,7 @@
 // Crossings that need a process of the program: it is stopped, both events are queued, it is woken.
 #include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
 
 #include <filesystem>
 #include <fstream>
@@ -16,25 +18,25 @@
 
 std::string reqName(int number) { return fmt::format("{:016x}", 0xc000 + number); }
 
-// One server as a user starts it, with an engine that runs each req for a while.
+// One server as a user starts it: with an engine that runs each req for a while, or with all peers in the
+// test's hands.
 class Program {
  public:
-  Program(int stopMs, int sockets, std::chrono::milliseconds work = 30ms) : engine_(work, false) {
-    char name[] = "/tmp/rainhook-crossing-XXXXXX";
-    folder_ = ::mkdtemp(name);
-    auto any = Peers::any();
-    address_ = any.address().toString();
-    any.close();
+  Program(int stopMs, int sockets, std::chrono::milliseconds work = 30ms)
+      : engine_(std::make_unique<standins::Engine>(work, false)) {
     nlohmann::json settings = Peers().settings;
     settings["domain"]["below"] = "none", settings["domain"]["classCalls"] = {false, false};
-    std::ofstream(folder_ + "/config.json")
-        << nlohmann::json{{"name", "n1"},
-                          {"listen", address_},
-                          {"agent", engine_.address()},
-                          {"stop_ms", stopMs},
-                          {"limits", {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", sockets}}},
-                          {"settings", settings}};
-    start();
+    config_["agent"] = engine_->address();
+    begin(stopMs, sockets, settings);
+  }
+  Program(std::unique_ptr<standins::Engine> engine, const std::string& next, const nlohmann::json& settings)
+      : engine_(std::move(engine)) {
+    config_["agent"] = engine_->address(), config_["backend"] = next;
+    begin(3000, 256, settings);
+  }
+  Program(Peers& peers, int stopMs, int sockets) {
+    at(peers);
+    begin(stopMs, sockets, peers.settings);
   }
   ~Program() {
     process_.reset();
@@ -44,9 +46,15 @@
       std::filesystem::remove_all(folder_);
   }
   void start() {
+  // The peers' addresses as they are now; the file is not read before somebody says so.
+  void at(Peers& peers) {
+    config_["agent"] = peers.engineAt.address().toString();
+    config_["backend"] = peers.nextAt.address().toString();
+    config_["roster"] = peers.listAt.address().toString();
+    if (!folder_.empty()) write();
+  }
     process_ = std::make_unique<Process>(
-        std::vector<std::string>{RAINHOOK_PROGRAM, "serve", "--config", folder_ + "/config.json"},
-        folder_ + "/log");
+        std::vector<std::string>{RAINHOOK_PROGRAM, "serve", "--config", file()}, folder_ + "/log");
   }
   // Waits until a health check is answered; how long that took.
   std::chrono::milliseconds ready(std::chrono::milliseconds most = 20s) {
@@ -64,10 +72,27 @@
   }
   Balancer balancer() { return Balancer(Poco::Net::StreamSocket(Poco::Net::SocketAddress(address_))); }
   Process& process() { return *process_; }
-  std::map<std::string, int> launches() const { return engine_.launches(); }
+  const standins::Engine& engine() const { return *engine_; }
+  std::string file() const { return folder_ + "/config.json"; }
+  std::string text() const { return config_.dump(); }
 
  private:
-  standins::Engine engine_;
+  void begin(int stopMs, int sockets, const nlohmann::json& settings) {
+    char name[] = "/tmp/rainhook-crossing-XXXXXX";
+    folder_ = ::mkdtemp(name);
+    auto any = Peers::any();
+    address_ = any.address().toString();
+    any.close();
+    config_["name"] = "n1", config_["listen"] = address_, config_["stop_ms"] = stopMs;
+    config_["limits"] = {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", sockets}};
+    config_["settings"] = settings;
+    write();
+    start();
+  }
+  void write() const { std::ofstream(file()) << text(); }
+
+  std::unique_ptr<standins::Engine> engine_;
+  nlohmann::json config_;
   std::string folder_, address_;
   std::unique_ptr<Process> process_;
 };
@@ -101,7 +126,7 @@
   auto clients = asking(w, 24);
   w.process().wake();
   EXPECT_EQ(answered(clients), 24);
-  for (const auto& [name, times] : w.launches()) EXPECT_EQ(times, 1) << name;
+  for (const auto& [name, times] : w.engine().launches()) EXPECT_EQ(times, 1) << name;
 }
 
 // The notice comes while more connections wait to be accepted than one turn takes, each with a whole req.
@@ -118,6 +143,30 @@
 }
 
 // Clients that rest until the server ends them, one of them within a frame: each hears `closing`, then an end
+// Callers that come and come while the server leaves: its listener ends all the same, well before the stop,
+// and every one that got in is answered.
+TEST(CrossingProgram, AStreamOfNewCallersDoesNotKeepTheListenerOpen) {
+  using Clock = std::chrono::steady_clock;
+  Program w(1600, 1024, 1ms);
+  w.ready();
+  auto rests = w.balancer();  // and never goes, so that the process stays to its last moment
+  w.process().terminate();
+  std::vector<Balancer> came;
+  const auto told = Clock::now();
+  auto refused = told;
+  while (refused == told && Clock::now() - told < 5s) try {
+      came.push_back(w.balancer());
+      came.back().ask(1, Balancer::fields(reqName(static_cast<int>(came.size()))));
+      std::this_thread::sleep_for(2ms);  // several come between two looks at the listener
+    } catch (const Poco::Exception&) {
+      refused = Clock::now();
+    }
+  EXPECT_EQ(w.process().waitFor(5s), 0);
+  EXPECT_GT(Clock::now() - refused, 250ms);
+  // The last one may have got in between the last look and the close.
+  EXPECT_GE(answered(came), static_cast<int>(came.size()) - 1);
+}
+
 // and no reset, and the server leaves in time; a req in the moment of the end is answered or was never taken.
 TEST(CrossingProgram, RestingClientsAreEndedInOrderAndTheDrainIsNotLateForThem) {
   Program w(1500, 256);
@@ -165,6 +214,161 @@
 }
 
 // Killed with reqs in flight and the old process's connections open, and started at once under its name.
+// A req on a connection that rests, sent in the moment in which the server ends it: it is served, and the
+// connection goes on.
+TEST(CrossingProgram, AReqInTheMomentOfTheEndOfARestingConnectionIsServed) {
+  Program w(3000, 256);
+  w.ready();
+  auto client = w.balancer();
+  const auto closing = client.answer();  // it never said anything for 2 s
+  EXPECT_EQ(closing.what, What::closing);
+  w.process().stop();  // well before the end, which comes 150 ms later
+  const auto stopped = std::chrono::steady_clock::now();
+  client.ask(1, Balancer::fields(reqName(1)));
+  std::this_thread::sleep_until(stopped + 400ms);  // the end is overdue
+  w.process().wake();
+  const auto answer = client.answer();
+  EXPECT_EQ(answer.what, What::done);
+  EXPECT_EQ(answer.number, 1);
+}
+
+// The socket goes only once its peer has ended its side too: what that still sends meets no reset, which
+// would take with it whatever of our answers is still under way.
+TEST(CrossingProgram, WhatComesAfterOurEndMeetsNoReset) {
+  Program w(3000, 256);
+  w.ready();
+  auto client = w.balancer();
+  while (client.answer().what == What::closing) {
+  }
+  EXPECT_FALSE(client.wasReset());  // our side has ended, the client's has not
+  for (int i = 0; i < 3; ++i) EXPECT_NO_THROW(client.say("x")) << i;
+  // Nor is it waited for beyond half a second.
+  const auto reset = [&] {
+    try {
+      client.say("x");
+      return false;
+    } catch (const Poco::Exception&) {
+      return true;
+    }
+  };
+  const auto until = std::chrono::steady_clock::now() + 4s;
+  while (!reset() && std::chrono::steady_clock::now() < until) std::this_thread::sleep_for(10ms);
+  EXPECT_LT(std::chrono::steady_clock::now(), until);
+}
+
+// The notice to leave that comes while the program starts, before it has read its file: it listens, says that
+// it takes no work, and leaves in good order. The file is a pipe, so that the moment is held.
+TEST(CrossingProgram, ANoticeBeforeTheServerStandsIsHeard) {
+  Peers peers;
+  Program w(peers, 600, 256);
+  w.process().kill();
+  std::filesystem::remove(w.file());
+  ASSERT_EQ(::mkfifo(w.file().c_str(), 0600), 0);
+  w.start();
+  int pipe = -1;
+  for (const auto until = std::chrono::steady_clock::now() + 20s;
+       pipe < 0 && std::chrono::steady_clock::now() < until;)
+    if (pipe = ::open(w.file().c_str(), O_WRONLY | O_NONBLOCK); pipe < 0) std::this_thread::sleep_for(1ms);
+  ASSERT_GE(pipe, 0);  // it reads
+  w.process().terminate();
+  const auto text = w.text();
+  ASSERT_EQ(::write(pipe, text.data(), text.size()), static_cast<ssize_t>(text.size()));
+  ::close(pipe);
+  std::string said;
+  while (said != R"({"duty":"off"})") {
+    auto report = Line::accept(peers.listAt);
+    const auto asked = report.hear(Asked::read);
+    if (!report.isOpen()) break;
+    if (asked) said = asked->body;
+  }
+  EXPECT_EQ(said, R"({"duty":"off"})");
+  EXPECT_EQ(w.process().waitFor(5s), 0);
+}
+
+// A reload that moves all peers and the notice to leave, both there when the process wakes: the new list
+// hears of the leaving last, the new engine goes on with the run, what came after the grace does not run, and
+// all is answered before the end.
+TEST(CrossingProgram, AReloadAndTheNoticeInOneTurn) {
+  Peers peers;
+  Program w(peers, 2500, 256);
+  peers.link();
+  auto client = w.balancer();
+  client.ask(1, Balancer::fields(reqName(1)));
+  EXPECT_EQ(peers.launched(), reqName(1));
+  w.process().stop();
+  auto engineWas = std::exchange(peers.engineAt, Peers::any());
+  auto listWas = std::exchange(peers.listAt, Peers::any());
+  w.at(peers);
+  ::kill(w.process().id(), SIGHUP);
+  w.process().terminate();
+  w.process().wake();
+  peers.link();
+  std::string last;
+  for (int reports = 0; reports < 6;) {
+    auto report = Line::accept(peers.listAt);
+    if (!report.isOpen()) break;
+    const auto asked = report.hear(Asked::read);
+    if (!asked) continue;  // taken back for the newer one
+    last = asked->body;
+    reports += last == R"({"duty":"off"})";
+    if (last == R"({"duty":"on"})") reports = 0;
+    report.say("HTTP/1.1 204 No Content\r\n\r\n");
+  }
+  EXPECT_EQ(last, R"({"duty":"off"})");  // more than half a second after the notice, and past the grace
+  client.ask(2, Balancer::fields(reqName(2)));
+  const auto late = client.answer();
+  EXPECT_EQ(late.number, 2);
+  EXPECT_EQ(late.what, What::shed);
+  EXPECT_EQ(peers.launched(), reqName(1));  // said again: it may not have been read
+  peers.ends(reqName(1));
+  auto answer = client.answer();
+  while (answer.what == What::closing) answer = client.answer();
+  EXPECT_EQ(answer.number, 1);
+  EXPECT_EQ(answer.what, What::done);
+  EXPECT_EQ(w.process().waitFor(5s), 0);
+}
+
+// All descriptors that the process may have, idle callers wherever they get in, and the list away: the link
+// to the engine is made again, calls are made, the list hears of the server when it is back, and a caller
+// that asks is served.
+TEST(CrossingProgram, IdleCallersLeaveRoomForEveryOtherPeer) {
+  constexpr int most = 32;
+  Peers peers;
+  peers.settings["domain"]["below"] = "none";
+  Program w(peers, 3000, most);
+  const rlimit limit{most, most};
+  ASSERT_EQ(::prlimit(w.process().id(), RLIMIT_NOFILE, &limit, nullptr), 0);
+  peers.link();
+  w.ready();
+  const auto listWas = peers.listAt.address();
+  peers.listAt.close();
+  std::vector<Balancer> idle;
+  for (int i = 0; i < 3 * most; ++i) idle.push_back(w.balancer());
+  peers.engine.close();
+  peers.link();
+  const auto client = [&](int number) {
+    auto out = w.balancer();
+    out.ask(1, Balancer::fields(reqName(number)));
+    EXPECT_EQ(peers.launched(), reqName(number));
+    return out;
+  };
+  auto first = client(1), second = client(2);
+  std::vector<Line> calls;
+  for (int number = 1; number <= 2; ++number) {
+    peers.wantsCall(reqName(number), "please");
+    calls.push_back(Line::accept(peers.nextAt));
+    EXPECT_TRUE(calls.back().hear(Asked::read)) << number;
+  }
+  peers.listAt = Poco::Net::ServerSocket(listWas);
+  auto report = Line::accept(peers.listAt);
+  EXPECT_TRUE(report.hear(Asked::read));
+  for (auto& call : calls) call.say(Peers::response("200 OK", "reply"));
+  for (int number = 1; number <= 2; ++number) EXPECT_EQ(peers.command()["msg"], "deliver");
+  for (int number = 1; number <= 2; ++number) peers.ends(reqName(number));
+  EXPECT_EQ(first.answer().what, What::done);
+  EXPECT_EQ(second.answer().what, What::done);
+}
+
 TEST(CrossingProgram, NineInTenOfTwentyKilledAndStartedAgainAreReadyWithinTenSeconds) {
   std::vector<std::unique_ptr<Program>> fleet;
   for (int i = 0; i < 20; ++i) fleet.push_back(std::make_unique<Program>(3000, 64, 500ms));
--- a/tests/fleet/process.h
+++ b/tests/fleet/process.h
@@ -31,6 +31,7 @@
     ::dup2(::open("/dev/null", O_RDONLY), 0);
     const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::dup2(out, 1), ::dup2(out, 2);
+    ::close_range(3, ~0U, 0);  // what the test holds is not the program's
     sigset_t none;
     sigemptyset(&none);
     ::sigprocmask(SIG_SETMASK, &none, nullptr);
--- a/tests/world.h
+++ b/tests/world.h
@@ -281,6 +281,7 @@
   }
   bool wasReset() const { return reset_; }
   void close() { socket_.close(); }
+  bool isOpen() const { return socket_.impl()->initialized(); }
   void closeHard() {
     socket_.setLinger(true, 0);
     socket_.close();
