Repeats of a req that provably never ran are read anew, and one of them runs for all

Seen by reading, then forced: of five orders in which a first ends before it runs, its waiting repeats were answered 'the first try failed' although nothing had run. On the program before this CrossingFirst.Cancelled..., CancelledInTheTurn..., Shed..., Refused... and NeverBegun... fail, each: Which is: "{"msg":"none"}" (no launch of the repeat) Cause: Server::settled and perform(Forget) ended all that waited as errored, and perform(AnswerFromFirst) those whose first had gone in the same turn. Ruled out: the module; it says Forget of what never ran, and takes a req read again as any other. Change: Server::neverRan frees the key and reads those that waited anew, with what is left of their time: held and never launched, refused at the launch, or void. What was launched may have run: CrossingFirst.CancelledWhileItRuns... holds that no repeat runs beside it (passes on both). A mark's forget is done once a req now: a second one would have taken the older try's entry with it.

--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -39,6 +39,7 @@
 // Memory: a quarter of it for reqs in hand, each with a body of 2 kB and a reply of 4 kB at most; an eighth
 // for what waits to be sent, and one for the results that are kept.
 constexpr std::size_t inHandBytes = 8 * 1024;
+constexpr std::string_view otherContent = "its key came with another content";
 std::size_t megabytes(int count) { return static_cast<std::size_t>(count) << 20; }
 
 }  // namespace
@@ -132,6 +133,7 @@
   const auto happened = std::exchange(happened_, {});
   for (const auto& action : module_->decide(sinceOpened(), happened))
     std::visit([this](const auto& a) { perform(a); }, action);
+  neverRan_.clear();
 }
 
 // News of the peers.
@@ -151,12 +153,18 @@
                                       facts_.trade.shareFor);
     if (known.conflicts) {
       log_.line(net::Matter::clients, "a repeat whose first had another content: {}", req.name);
-      return "its key came with another content";
+      return otherContent;
     }
     repeats = known.first;
   }
   openModule(facts_.machine.cold, 0s);
   ++counts_.read, counts_.unread += req.unread;
+  enter(id, req, repeats);
+  table_.add(id, std::move(req)).repeats = repeats;
+  return id;
+}
+
+void Server::enter(ReqId id, const net::ArrivedReq& req, std::optional<ReqId> repeats) {
   ReqRead read;
   read.id = id;
   read.handler = req.handler;
@@ -170,9 +178,7 @@
   read.patience = req.patience;
   read.unread = req.unread;
   read.write = req.subject == SubjectId{};
-  table_.add(id, std::move(req)).repeats = read.repeats;
   tell(read);
-  return id;
 }
 
 void Server::callerLeft(ReqId id) {
@@ -203,6 +209,7 @@
     firstEnded(*id, outcome == Outcome::done ? Marks::End::done : Marks::End::errored, result);
   if (req.owed && outcome == Outcome::stopped) {  // back in the hold
     req.course = Course::held;
+  if (outcome == Outcome::moot) neverRan(*id);
     req.said = InHand::Said::nothing;
     return;
   }
@@ -273,9 +280,9 @@
   const auto id = table_.named(name);
   if (!id || table_.find(*id)->course < Course::running) return;
   runEnded(std::string(name), Outcome::errored, net::Reactor::Clock::now() - table_.find(*id)->since, {});
-  if (command == "launch") marks_.forget(*id);
 }
 
+  if (command == "launch") neverRan(*id);
 void Server::ring(std::uint64_t question, const std::vector<double>& values) {
   const auto it = ringing_.find(question);
   if (it == ringing_.end()) return;
@@ -294,6 +301,7 @@
   say(*req, InHand::Said::launch);
 }
 void Server::perform(const Shed& action) {
+  req->started = true;
   InHand* req = table_.find(action.id);
   if (!req || !req->owed) return;
   ++counts_.shed;
@@ -329,10 +337,7 @@
   if (const auto key = Marks::keyOf(req->req, facts_.handlers))
     marks_.keep(*key, Marks::contentOf(req->req), action.id, req->req.readAt + action.keepFor);
 }
-void Server::perform(const Forget& action) {
-  firstEnded(action.id, Marks::End::errored, {});
-  marks_.forget(action.id);
-}
+void Server::perform(const Forget& action) { neverRan(action.id); }
 void Server::perform(const AnswerFromFirst& action) {
   InHand* req = table_.find(action.id);
   if (!req) return;
@@ -343,6 +348,7 @@
   if (kept->end != Marks::End::none) return answerFrom(action.id, *req, kept->end, kept->result);
   table_.waitFor(*req->repeats, action.id);
 }
+  if (!kept && req->repeats && neverRan_.contains(*req->repeats)) return readAnew(action.id);
 void Server::perform(const SayHealth& action) {
   clients_.sayHealth(action.good);
   if (list_) list_->takesWork(action.good);
@@ -369,10 +375,37 @@
   table_.drop(id);
 }
 
+  if (!req.started) neverRan(id);
 void Server::firstEnded(ReqId first, Marks::End end, const std::string& result) {
   marks_.ended(first, end, std::chrono::system_clock::now(), result);
   for (const ReqId id : table_.waitingFor(first)) answerFrom(id, *table_.find(id), end, result);
 }
+// What provably had no effect is nobody's first: its key is free, and those that waited for it are read anew,
+// with what is left of their time. The next of them that runs is the first of the others.
+void Server::neverRan(ReqId first) {
+  if (!neverRan_.insert(first).second) return;
+  marks_.forget(first);
+  for (const ReqId id : table_.waitingFor(first)) readAnew(id);
+}
+
+void Server::readAnew(ReqId id) {
+  InHand& req = *table_.find(id);
+  tell(RunEnded{id, Outcome::errored, net::Reactor::Clock::now() - req.since});
+  table_.waitNoMore(id, req);
+  const auto now = std::chrono::system_clock::now();
+  const Span since = std::max<Span>(now - req.req.readAt, 0s);
+  req.req.readAt = now;
+  req.req.unread += since;
+  if (req.req.patience) req.req.patience = std::max<Span>(*req.req.patience - since, 0s);
+  const auto known = marks_.firstOf(*Marks::keyOf(req.req, facts_.handlers), Marks::contentOf(req.req), id,
+                                    now - req.req.unread, now, facts_.trade.shareFor);
+  req.repeats = known.first;
+  if (!known.conflicts) return enter(id, req.req, known.first);
+  ++counts_.errored;
+  clients_.errored(req.req.ticket, otherContent);
+  table_.drop(id);
+}
+
 
 void Server::answerFrom(ReqId id, InHand& req, Marks::End end, const std::string& result) {
   const bool done = end == Marks::End::done;
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -82,7 +83,10 @@
   void perform(const SetTimer& action);
   void perform(const Note& action);
 
+  void enter(ReqId id, const net::ArrivedReq& req, std::optional<ReqId> repeats);
   void settled(ReqId id, InHand& req);
+  void neverRan(ReqId first);
+  void readAnew(ReqId id);
   void firstEnded(ReqId first, Marks::End end, const std::string& result);
   void answerFrom(ReqId id, InHand& req, Marks::End end, const std::string& result);
   void say(InHand& req, InHand::Said what);
@@ -114,6 +118,7 @@
   Table table_;
   Marks marks_;
   std::vector<Event> happened_;
+  std::set<ReqId> neverRan_;  // of this turn: repeats that name one of them have no first
   std::uint32_t reqs_ = 0;
   std::uint64_t questions_ = 0;
   struct Ringing {
--- a/src/server/table.cpp
+++ b/src/server/table.cpp
@@ -25,11 +25,16 @@
   const auto it = inHand_.find(id);
   if (it == inHand_.end()) return;
   names_.erase(it->second.req.name);
-  if (it->second.repeats && it->second.course == Course::waitingForFirst)
-    waiting_.erase({*it->second.repeats, id});
+  waitNoMore(id, it->second);
   inHand_.erase(it);
 }
 
+void Table::waitNoMore(ReqId id, InHand& req) {
+  if (req.course != Course::waitingForFirst) return;
+  if (req.repeats) waiting_.erase({*req.repeats, id});
+  req.course = Course::held;
+}
+
 std::vector<ReqId> Table::waitingFor(ReqId first) const {
   std::vector<ReqId> out;
   for (auto it = waiting_.lower_bound({first, ReqId{}}); it != waiting_.end() && it->first == first; ++it)
--- a/src/server/table.h
+++ b/src/server/table.h
@@ -20,6 +20,7 @@
 struct InHand {
   net::ArrivedReq req;
   bool owed = true;
+  bool started = false;  // the engine may have it: told once, or more often, to run it
   Course course = Course::held;
   Moment since{};  // of the start, or of the wait for the first
   // What the engine was told last, when, and whether there was a link to say it on.
@@ -37,6 +38,7 @@
   InHand* find(ReqId id);
   std::optional<ReqId> named(const std::string& name) const;
   void drop(ReqId id);
+  void waitNoMore(ReqId id, InHand& req);
   void waitFor(ReqId first, ReqId id) { waiting_.emplace(first, id); }
   std::vector<ReqId> waitingFor(ReqId first) const;
   std::size_t size() const { return inHand_.size(); }
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -300,3 +300,107 @@
 }  // namespace rainhook
 // Repeats.
 
+// A req whose first never ran is nobody's repeat: it runs by itself, once, whatever became of the first.
+class CrossingFirst : public testing::Test {
+ protected:
+  static constexpr const char* busy[] = {"00000000000000c1", "00000000000000c2"};
+  CrossingFirst() {
+    w.start();
+    client = w.balancer();
+    for (int i = 0; i < 2; ++i) {  // both cores are taken
+      client.ask(i + 1, Balancer::fields(busy[i]));
+      EXPECT_EQ(w.launched(), busy[i]);
+    }
+  }
+  // Two repeats wait; the one that is launched now is the only one, and both get its result.
+  void oneRunServesBoth() {
+    EXPECT_EQ(w.launched(), two);
+    w.ends(two, "ok", "paid");
+    for (const int number : {4, 5}) {
+      const auto answer = client.answer();
+      EXPECT_EQ(answer.number, number);
+      EXPECT_EQ(answer.body, "paid");
+    }
+    client.ask(6, Balancer::fields("00000000000000c6"));
+    EXPECT_EQ(w.launched(), "00000000000000c6");
+  }
+  void askBoth() {
+    client.ask(4, paid(two));
+    client.ask(5, paid(three));
+    client.health();
+    EXPECT_EQ(client.answer().what, What::good);  // both have been read
+  }
+  void freeACore() {
+    w.ends(busy[0]);
+    EXPECT_EQ(client.answer().number, 1);
+  }
+  Peers w;
+  Balancer client;
+};
+
+TEST_F(CrossingFirst, CancelledWhileHeldLeavesARunToItsRepeats) {
+  client.ask(3, paid(one));
+  askBoth();
+  client.cancel(3);
+  freeACore();
+  oneRunServesBoth();
+}
+
+TEST_F(CrossingFirst, CancelledInTheTurnOfItsRepeatsLeavesARunToThem) {
+  client.say(Balancer::message(3, paid(one), "body") + Balancer::message(4, paid(two), "body") +
+             Balancer::message(5, paid(three), "body") + Balancer::cancelling(3));
+  client.health();
+  EXPECT_EQ(client.answer().what, What::good);
+  freeACore();
+  oneRunServesBoth();
+}
+
+TEST_F(CrossingFirst, ShedWhileHeldLeavesARunToItsRepeats) {
+  auto fields = paid(one);
+  fields["budget"] = "250";
+  client.ask(3, fields);
+  askBoth();
+  const auto answer = client.answer();
+  EXPECT_EQ(answer.number, 3);
+  EXPECT_EQ(answer.what, What::shed);
+  freeACore();
+  oneRunServesBoth();
+}
+
+TEST_F(CrossingFirst, RefusedByTheEngineLeavesARunToItsRepeats) {
+  freeACore();
+  client.ask(3, paid(one));
+  EXPECT_EQ(w.launched(), one);
+  askBoth();
+  w.tell({{"msg", "refusal"}, {"how", "launch"}, {"call", one}});
+  EXPECT_EQ(client.answer().what, What::errored);
+  oneRunServesBoth();
+}
+
+TEST_F(CrossingFirst, NeverBegunAtTheEngineLeavesARunToItsRepeats) {
+  freeACore();
+  client.ask(3, paid(one));
+  EXPECT_EQ(w.launched(), one);
+  askBoth();
+  client.cancel(3);
+  w.ends(one, "void", "");
+  oneRunServesBoth();
+}
+
+// The other side of it: what was launched may have run, whatever its caller does, and no repeat runs beside
+// it.
+TEST_F(CrossingFirst, CancelledWhileItRunsKeepsItsRepeatsWaitingForIt) {
+  freeACore();
+  client.ask(3, paid(one));
+  EXPECT_EQ(w.launched(), one);
+  askBoth();
+  client.cancel(3);
+  w.ends(busy[1]);
+  EXPECT_EQ(client.answer().number, 2);
+  client.ask(6, Balancer::fields("00000000000000c6"));
+  EXPECT_EQ(w.launched(), "00000000000000c6");
+  w.ends(one, "ok", "paid");
+  EXPECT_EQ(client.answer().body, "paid");
+  EXPECT_EQ(client.answer().body, "paid");
+}
+
--- a/tests/world.h
+++ b/tests/world.h
@@ -344,14 +344,15 @@
   void ask(std::int32_t number, const net::thrift::Fields& fields, std::string_view body = "body") {
     say(message(number, fields, body));
   }
-  void cancel(std::int32_t number) {
-    say(net::thrift::Writer(net::thrift::Kind::oneway, "cancel", 99)
-            .field(1, net::thrift::Type::i32)
-            .i32(number)
-            .stop()
-            .whole());
+  static std::string cancelling(std::int32_t number) {
+    return net::thrift::Writer(net::thrift::Kind::oneway, "cancel", 99)
+        .field(1, net::thrift::Type::i32)
+        .i32(number)
+        .stop()
+        .whole();
   }
   void health() {
+  void cancel(std::int32_t number) { say(cancelling(number)); }
     say(net::thrift::Writer(net::thrift::Kind::call, "health", 1)
             .field(1, net::thrift::Type::boolean)
             .boolean(false)
