A reply or an engine's answer that lies unread is read before its time counts as over

Seen by reading, then forced: after a pause of the machine timers ring before sockets are read, so a call was given up though its reply was there, and the link to the engine broken though its question was answered, which puts launches of uniqued reqs in doubt and errors them. Lines: Servers::call (the limit's timer), Engine::connect (the greeting's), Engine::ask. Change: each reads what is there first.

--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -46,7 +46,9 @@
   greeted_ = false;
   waitingSince_.reset();
   // A link that nobody holds any more at its other end is never greeted; the next one takes its place.
-  greetingDue_ = reactor_.after(answersWithin, [this] { breakOff("no greeting"); });
+  greetingDue_ = reactor_.after(answersWithin, [this] {
+    if (stillSilent([this] { return !greeted_; })) breakOff("no greeting");
+  });
   connection_ = Connection::to(address_, reactor_, pool_, std::move(callbacks));
   connection_->write(jsonl::writeLine({{"msg", "subscribe"}, {"serial", lastNotice_}}));
 }
@@ -87,13 +89,21 @@
   return say({{"msg", "forgo"}, {"call", name}, {"serial", notice}});
 }
 void Engine::ask(std::uint64_t question) {
-  asked_ = question, askedAt_ = Reactor::Clock::now();
-  if (greeted_ && waitingSince_ && askedAt_ - *waitingSince_ > answersWithin)
-    return breakOff("its questions are not answered");
+  const auto now = Reactor::Clock::now();
+  const auto unanswered = [&] { return greeted_ && waitingSince_ && now - *waitingSince_ > answersWithin; };
+  if (unanswered() && stillSilent(unanswered)) return breakOff("its questions are not answered");
+  asked_ = question, askedAt_ = now;
   if (!waitingSince_) waitingSince_ = askedAt_;
   say({{"msg", "sample"}, {"cookie", std::to_string(question)}});
 }
 
+// What came in time may lie unread after a pause of the machine: it is read before the link is judged.
+bool Engine::stillSilent(const std::function<bool()>& silent) {
+  const auto link = connection_;
+  link->readNow();
+  return link == connection_ && silent();
+}
+
 bool Engine::fresh(const json& line) {
   const auto it = line.find("serial");
   if (it == line.end() || !it->is_number_unsigned()) throw Nonsense("a notice without its number");
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -54,6 +55,7 @@
   bool say(const nlohmann::json& line);
   void lost(const std::string& why);
   void breakOff(const std::string& why);
+  bool stillSilent(const std::function<bool()>& silent);
 
   static constexpr Reactor::Wait again = std::chrono::milliseconds(50),
                                  answersWithin = std::chrono::seconds(3);
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -32,7 +32,7 @@
   callbacks.came = [this, id](std::string_view bytes) { return came(id, bytes); };
   callbacks.ended = [this, id](Ending how, const std::string& why) { broke(id, how, why); };
   call.connection = Connection::to(*address_, reactor_, pool_, std::move(callbacks));
-  call.limit = reactor_.after(limit, [this, id] { end(id, Outcome::timedOut, {}); });
+  call.limit = reactor_.after(limit, [this, id] { limitReached(id); });
   const auto millis = std::max<std::int64_t>(1, std::chrono::floor<std::chrono::milliseconds>(limit).count());
   call.connection->write(http::request("POST", "/rpc/call", address_->toString(),
                                        {{"Parent-Call", name}, {"Deadline-Ms", std::to_string(millis)}},
@@ -68,6 +68,13 @@
   end(id, never ? Outcome::unreachable : Outcome::cutShort, {});
 }
 
+// A reply that came in time may lie unread, after a pause of the machine or in a long turn.
+void Servers::limitReached(ReqId id) {
+  const auto connection = calls_.at(id).connection;
+  connection->readNow();
+  end(id, Outcome::timedOut, {});
+}
+
 void Servers::end(ReqId id, Outcome outcome, std::string&& reply) {
   const auto it = calls_.find(id);
   if (it == calls_.end()) return;
--- a/src/net/servers.h
+++ b/src/net/servers.h
@@ -43,6 +43,7 @@
 
   std::size_t came(ReqId id, std::string_view bytes);
   void broke(ReqId id, Ending how, const std::string& why);
+  void limitReached(ReqId id);
   void end(ReqId id, Outcome outcome, std::string&& reply);
 
   Reactor& reactor_;
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -118,6 +118,46 @@
   EXPECT_EQ(w.launched(), one);
 }
 
+// Callers that read nothing of what they are sent, more of it than memory is set aside for: the furthest
+// behind are closed, and who reads gets answers all the while.
+TEST(CrossingClose, CallersThatReadNothingAreClosedBeforeTheyTakeAllTheMemory) {
+  Peers w;
+  w.place.memoryMb =
+      1;  // an eighth of it for what waits to be sent; 32 kB at a connection before it is not read
+  w.start();
+  const auto bad = Balancer::message(1, {}, std::string(2000, 'x'));  // each is answered with an exception
+  struct Deaf {
+    Balancer line;
+    std::size_t sent = 0;
+    bool ended = false;
+  };
+  std::vector<Deaf> deaf(12);
+  for (auto& client : deaf) {
+    client.line = w.balancer();
+    client.line.socket().setReceiveBufferSize(4 << 10);
+    client.line.socket().setBlocking(false);
+  }
+  auto reader = w.balancer();
+  long ended = 0;
+  for (const auto until = std::chrono::steady_clock::now() + 20s;
+       ended == 0 && std::chrono::steady_clock::now() < until;) {
+    for (auto& [line, sent, over] : deaf) try {
+        for (int i = 0; i < 100 && !over; ++i) {
+          const auto rest = std::string_view(bad).substr(sent % bad.size());
+          sent +=
+              static_cast<std::size_t>(line.socket().sendBytes(rest.data(), static_cast<int>(rest.size())));
+        }
+      } catch (const Poco::Exception& fault) {
+        over = fault.code() != EAGAIN;
+      }
+    ended = std::ranges::count(deaf, true, &Deaf::ended);
+    reader.health();
+    ASSERT_EQ(reader.answer().what, What::good);
+  }
+  EXPECT_GT(ended, 0);
+  EXPECT_LT(ended, 12);
+}
+
 // A numbered notice that can't be read is taken all the same: it would come again on every link.
 TEST(CrossingEngine, ANoticeThatCannotBeReadEndsItsReqAndNotTheLink) {
   Peers w;
@@ -171,6 +211,83 @@
   reports.front().socket().setBlocking(false);
   char none = 0;
   EXPECT_EQ(reports.front().socket().receiveBytes(&none, 1), 0);  // an end; nothing to read would throw
+// After a pause of the machine, or whenever time went by unseen, an answer that lies unread is an answer.
+TEST(CrossingEngine, ALinkWhoseAnswerLiesUnreadIsNotGivenUp) {
+  Peers w;
+  w.start();
+  const auto answer = [&](const std::optional<net::jsonl::Line>& question) {
+    w.tell({{"msg", "sampled"}, {"cookie", question->object["cookie"]}, {"stats", {0.5, 1, 0.1, 3}}});
+  };
+  auto question = w.engine.hear(net::jsonl::readLine);
+  ASSERT_TRUE(question);
+  answer(question);  // of the catching up
+  question = w.engine.hear(net::jsonl::readLine);
+  ASSERT_TRUE(question);
+  const auto asked = std::chrono::steady_clock::now();
+  std::this_thread::sleep_until(asked +
+                                20ms);  // the next question is on the server's mind, not this one's wait
+  w.paused([&] {
+    answer(question);
+    std::this_thread::sleep_until(asked + 3100ms);
+  });
+  auto client = w.balancer();
+  client.ask(1, Balancer::fields(one));
+  EXPECT_EQ(w.launched(), one);  // on the same link
+}
+
+// Calls below.
+
+// A reply and the limit of its call, both there when the server looks: the reply counts.
+TEST(CrossingCalls, AReplyThatLiesUnreadAtTheLimitCounts) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  auto fields = paid(one);
+  fields["budget"] = "2000";
+  client.ask(1, fields);
+  EXPECT_EQ(w.launched(), one);
+  w.wantsCall(one, "please");
+  auto next = Line::accept(w.nextAt);
+  const auto asked = next.hear(Asked::read);
+  ASSERT_TRUE(asked);
+  const auto limit = std::stol(asked->head.substr(asked->head.find("Deadline-Ms: ") + 13));
+  const auto over = std::chrono::steady_clock::now() + std::chrono::milliseconds(limit + 5);
+  w.paused([&] {
+    next.say(Peers::response("200 OK", "reply"));
+    std::this_thread::sleep_until(over);
+  });
+  const auto deliver = w.command();
+  EXPECT_EQ(deliver["msg"], "deliver");
+}
+
+// A reply that ends before it is whole, at whichever byte, proves nothing: the call is not made again, and
+// its req gets one answer.
+TEST(CrossingCalls, AReplyCutAtAnyByteProvesNothing) {
+  Peers w;
+  w.start();
+  auto client = w.balancer();
+  const std::string replies[] = {Peers::response("200 OK", "reply"),
+                                 "HTTP/1.1 503 Busy\r\nTurned-Away: 1\r\nContent-Length: 2\r\n\r\nno",
+                                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nre\r\n0\r\n\r\n"};
+  int number = 0;
+  for (const auto& reply : replies)
+    for (std::size_t length = 0; length < reply.size(); ++length) {
+      const auto rid = fmt::format("{:016x}", 0xd000 + ++number);
+      client.ask(number, paid(rid, rid));
+      ASSERT_EQ(w.launched(), rid);
+      w.wantsCall(rid, "please");
+      auto next = Line::accept(w.nextAt);
+      ASSERT_TRUE(next.hear(Asked::read));
+      next.say(std::string_view(reply).substr(0, length));
+      length % 2 == 0 ? next.close() : next.closeHard();
+      const auto answer = client.answer();
+      ASSERT_EQ(answer.number, number);
+      ASSERT_EQ(answer.what, What::errored) << reply.substr(0, length);
+      w.ends(rid, "halted", "");
+    }
+  EXPECT_FALSE(w.nextAt.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ));
+}
+
 }
 
 // Three hundred servers that lost the list at once, and were started at once, do not come back to it in step.
--- a/tests/world.h
+++ b/tests/world.h
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <deque>
 #include <functional>
+#include <future>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -280,8 +281,8 @@
     return ended_;
   }
   bool wasReset() const { return reset_; }
-  void close() { socket_.close(); }
   bool isOpen() const { return socket_.impl()->initialized(); }
+  void close() { socket_.close(); }
   void closeHard() {
     socket_.setLinger(true, 0);
     socket_.close();
@@ -351,8 +352,8 @@
         .stop()
         .whole();
   }
-  void health() {
   void cancel(std::int32_t number) { say(cancelling(number)); }
+  void health() {
     say(net::thrift::Writer(net::thrift::Kind::call, "health", 1)
             .field(1, net::thrift::Type::boolean)
             .boolean(false)
@@ -429,7 +430,8 @@
     place.list = listAt.address().toString();
     server_ = std::make_unique<server::Server>(reactor_, log_,
                                                Configured{place, readFacts(pairsOfJson(settings)), {}});
-    reactor_.onSignals({SIGTERM, SIGHUP}, [this](int signal) {
+    reactor_.onSignals({SIGTERM, SIGHUP, SIGUSR1}, [this](int signal) {
+      if (signal == SIGUSR1) return std::exchange(pause_, {})();
       if (signal != SIGHUP) return server_->leave();
       file.empty() ? server_->reload({place, {}, {}}) : server_->reloadFrom(file);
     });
@@ -437,6 +439,18 @@
     thread_ = std::thread([this] { reactor_.run(); });
     if (engineUp) link();
   }
+  // The server does nothing while this goes on; what its peers do meanwhile it finds all at once.
+  void paused(const std::function<void()>& meanwhile) {
+    std::promise<void> stands, goesOn;
+    pause_ = [&] {
+      stands.set_value();
+      goesOn.get_future().wait();
+    };
+    ::kill(::getpid(), SIGUSR1);
+    stands.get_future().wait();
+    meanwhile();
+    goesOn.set_value();
+  }
   // The peers' addresses as they are now, by SIGHUP.
   void reload() {
     place.engine = engineAt.address().toString(), place.next = nextAt.address().toString();
@@ -513,6 +527,7 @@
   net::Log log_;
   std::unique_ptr<server::Server> server_;
   std::thread thread_;
+  std::function<void()> pause_;
 };
 
 }  // namespace rainhook
