A stop over 65 s away and limits over 65,536 are no reason to refuse the start

Change: the bound is the caller's; these three have none but the type's. A deployment with such figures could not start a server.

--- a/src/facts/pairs.cpp
+++ b/src/facts/pairs.cpp
@@ -104,11 +104,11 @@
   return Span(whole);
 }
 
-int Pairs::count(const std::string& path, int absent) const {
+int Pairs::count(const std::string& path, int absent, int most) const {
   const auto value = text(path);
   if (value.empty()) return absent;
   const int whole = parsed<int>(path, value);
-  if (whole < 0 || whole > 65536) wrong(path, value, "a count");
+  if (whole < 0 || whole > most) wrong(path, value, "a count");
   return whole;
 }
 
--- a/src/facts/pairs.h
+++ b/src/facts/pairs.h
@@ -36,7 +36,8 @@
   double number(const std::string& path, double absent) const;
   bool yes(const std::string& path) const;
   Span span(const std::string& path, Span absent = {}) const;
-  int count(const std::string& path, int absent) const;
+  static constexpr int many = 65536;  // of what has a row each
+  int count(const std::string& path, int absent, int most = many) const;
   std::vector<std::string_view> list(const std::string& path) const;
   double numberAt(const std::string& path, std::size_t at) const;
   bool yesAt(const std::string& path, std::size_t at) const;
--- a/src/facts/place.cpp
+++ b/src/facts/place.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <fstream>
 #include <iterator>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace rainhook {
@@ -50,13 +51,14 @@
   place.list = address(given, "roster", false);
   place.next = address(given, "backend", false);
   place.seed = seed(given);
-  place.stopAfter = std::chrono::milliseconds(given.count("stop_ms", 3000));
-  const int descriptors = given.count("limits.sockets", 1024);
+  constexpr int any = std::numeric_limits<int>::max();  // nothing has a row for each of these
+  place.stopAfter = std::chrono::milliseconds(given.count("stop_ms", 3000, any));
+  const int descriptors = given.count("limits.sockets", 1024, any);
   constexpr int fewest = 32;
   if (descriptors < fewest)
     given.wrong("limits.sockets", std::to_string(descriptors), "enough descriptors to serve with (32)");
   place.descriptors = static_cast<std::size_t>(descriptors);
-  place.memoryMb = given.count("limits.memory_mb", 192);
+  place.memoryMb = given.count("limits.memory_mb", 192, any);
   const auto settings = json.find("settings");
   if (settings == json.end() || !settings->is_object())
     throw FactsError("configuration: settings is missing");
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -68,6 +68,20 @@
   EXPECT_EQ(net::http::segment("a b/\xc3\xa9?"), "a%20b%2F%C3%A9%3F");
 }
 
+// Limits and spans of other deployments are larger than any that was met so far.
+TEST(CrossingSettings, LimitsMayBeAsLargeAsOthersHaveThem) {
+  const auto read = readConfiguration(nlohmann::json{
+      {"name", "n3"},
+      {"listen", "127.0.0.1:8443"},
+      {"agent", "127.0.0.1:6100"},
+      {"stop_ms", 300'000},
+      {"limits", {{"sockets", 1 << 20}, {"memory_mb", 256 << 10}}},
+      {"settings", Peers().settings}}.dump());
+  EXPECT_EQ(read.place.stopAfter, 5min);
+  EXPECT_EQ(read.place.descriptors, 1u << 20);
+  EXPECT_EQ(read.place.memoryMb, 256 << 10);
+}
+
 // Pieces and closes.
 
 // Nonsense after a whole req, in one segment: the req is answered, then the connection ends.
