Until the engine has told how it started it is taken for cold, not for warm

Cause: Server::reqCame opened the module with the settings' word, which is none, when a req was read before the greeting; the greeting then changed nothing (openModule returned at once), so that server took itself for warm for good. Ruled out: the module's line (Guard::crowd with cold set holds in the same test), the rig's clock (both ages are the engine's). Change: what is read before the greeting opens the module as cold at age 0; each greeting says MachineStarted to it.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -142,6 +142,7 @@
 class Guard {
  public:
   explicit Guard(const Machine& machine) : m_(machine) {}
+  void started(bool cold, Span at) { m_.cold = cold, startedAt_ = at; }
 
   bool fits(double moreKb) const { return kb_ + moreKb <= m_.memoryKb * memoryMargin; }
   bool over() const { return !fits(0); }
@@ -150,7 +151,8 @@
   double keyKb() const { return m_.keyKb; }
   // Reqs started and not ended, at calls too, since these come back to the cores unasked.
   double crowd(Span now) const {
-    const double warmth = m_.warmWithin > 0s ? std::min(1.0, seconds(now) / seconds(m_.warmWithin)) : 1.0;
+    const double warmth =
+        m_.warmWithin > 0s ? std::min(1.0, seconds(now - startedAt_) / seconds(m_.warmWithin)) : 1.0;
     const double speed = m_.cold ? m_.coldSpeed + (1 - m_.coldSpeed) * warmth : 1.0;
     return std::max(1.0, m_.cores * (1 + (m_.crowdPerCore - 1) * speed) * crowdMargin - 1);
   }
@@ -158,7 +160,8 @@
 
  private:
   static constexpr double memoryMargin = 0.94, crowdMargin = 0.9;
-  const Machine m_;
+  Machine m_;
+  Span startedAt_{};
   double kb_ = 0;
 };
 
@@ -449,6 +452,7 @@
     say(Note{"leaving: health withdrawn, held " + std::to_string(hold_.size())});
   }
   void take(const CallShare& e) { calls_.allow(e.part); }
+  void take(const MachineStarted& e) { guard_.started(e.cold, now_ - e.ago); }
   void take(const TimerRang& e) {
     if (e.timer != tick_) return;
     say(SetTimer{tick_, tickEvery});
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -131,8 +131,13 @@
 struct CallShare {
   double part = 1;
 };
-using Event =
-    std::variant<ReqRead, RunEnded, CallWanted, CallEnded, CallerGone, LeaveNotice, TimerRang, CallShare>;
+// How the machine started, and how long ago, where that becomes known after the opening.
+struct MachineStarted {
+  bool cold = false;
+  Span ago{};
+};
+using Event = std::variant<ReqRead, RunEnded, CallWanted, CallEnded, CallerGone, LeaveNotice, TimerRang,
+                           CallShare, MachineStarted>;
 
 // Actions.
 struct Start {
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -95,8 +95,8 @@
   }
 }
 
-// The module counts from the engine's start, since that is what is cold or warm; before the engine is up no
-// req comes, and one that comes all the same opens it.
+// The module counts from the engine's start, since that is what is cold or warm. What is read before the
+// greeting, though it be in the same turn, opens it too: then the engine is taken for cold until it tells.
 void Server::openModule(bool cold, Span since) {
   if (module_) return;
   origin_ = net::Reactor::Clock::now() - since;
@@ -157,7 +157,7 @@
     }
     repeats = known.first;
   }
-  openModule(facts_.machine.cold, 0s);
+  openModule(true, 0s);
   ++counts_.read, counts_.unread += req.unread;
   enter(id, req, repeats);
   table_.add(id, std::move(req)).repeats = repeats;
@@ -189,7 +189,11 @@
   settled(id, *req);
 }
 
-void Server::engineUp(bool cold, Span since) { openModule(cold, since); }
+void Server::engineUp(bool cold, Span since) {
+  coldSince_ = cold ? std::optional(net::Reactor::Clock::now() - since) : std::nullopt;
+  if (module_) tell(MachineStarted{cold, since});
+  openModule(cold, since);
+}
 
 void Server::runEnded(const std::string& name, Outcome outcome, Span took, std::string&& result) {
   const auto id = table_.named(name);
@@ -205,11 +209,11 @@
     req.owed = false;
   }
   tell(RunEnded{*id, outcome, took});
+  if (outcome == Outcome::moot) neverRan(*id);
   if (outcome != Outcome::stopped || !wasOwed)
     firstEnded(*id, outcome == Outcome::done ? Marks::End::done : Marks::End::errored, result);
   if (req.owed && outcome == Outcome::stopped) {  // back in the hold
     req.course = Course::held;
-  if (outcome == Outcome::moot) neverRan(*id);
     req.said = InHand::Said::nothing;
     return;
   }
@@ -279,10 +283,10 @@
 void Server::commandRefused(const std::string& name, const std::string& command) {
   const auto id = table_.named(name);
   if (!id || table_.find(*id)->course < Course::running) return;
+  if (command == "launch") neverRan(*id);
   runEnded(std::string(name), Outcome::errored, net::Reactor::Clock::now() - table_.find(*id)->since, {});
 }
 
-  if (command == "launch") neverRan(*id);
 void Server::ring(std::uint64_t question, const std::vector<double>& values) {
   const auto it = ringing_.find(question);
   if (it == ringing_.end()) return;
@@ -297,11 +301,11 @@
   InHand* req = table_.find(action.id);
   if (!req || req->course != Course::held) return;
   req->course = Course::running;
+  req->started = true;
   req->since = net::Reactor::Clock::now();
   say(*req, InHand::Said::launch);
 }
 void Server::perform(const Shed& action) {
-  req->started = true;
   InHand* req = table_.find(action.id);
   if (!req || !req->owed) return;
   ++counts_.shed;
@@ -344,11 +348,11 @@
   const auto* kept = req->repeats ? marks_.find(*req->repeats) : nullptr;
   req->course = Course::waitingForFirst;
   req->since = net::Reactor::Clock::now();
+  if (!kept && req->repeats && neverRan_.contains(*req->repeats)) return readAnew(action.id);
   if (!kept) return answerFrom(action.id, *req, Marks::End::errored, {});
   if (kept->end != Marks::End::none) return answerFrom(action.id, *req, kept->end, kept->result);
   table_.waitFor(*req->repeats, action.id);
 }
-  if (!kept && req->repeats && neverRan_.contains(*req->repeats)) return readAnew(action.id);
 void Server::perform(const SayHealth& action) {
   clients_.sayHealth(action.good);
   if (list_) list_->takesWork(action.good);
@@ -371,15 +375,11 @@
   req.owed = false;
   servers_.giveUp(id);
   if (req.course >= Course::running) return;
+  if (!req.started) neverRan(id);
   firstEnded(id, Marks::End::errored, {});
   table_.drop(id);
 }
 
-  if (!req.started) neverRan(id);
-void Server::firstEnded(ReqId first, Marks::End end, const std::string& result) {
-  marks_.ended(first, end, std::chrono::system_clock::now(), result);
-  for (const ReqId id : table_.waitingFor(first)) answerFrom(id, *table_.find(id), end, result);
-}
 // What provably had no effect is nobody's first: its key is free, and those that waited for it are read anew,
 // with what is left of their time. The next of them that runs is the first of the others.
 void Server::neverRan(ReqId first) {
@@ -406,6 +406,10 @@
   table_.drop(id);
 }
 
+void Server::firstEnded(ReqId first, Marks::End end, const std::string& result) {
+  marks_.ended(first, end, std::chrono::system_clock::now(), result);
+  for (const ReqId id : table_.waitingFor(first)) answerFrom(id, *table_.find(id), end, result);
+}
 
 void Server::answerFrom(ReqId id, InHand& req, Marks::End end, const std::string& result) {
   const bool done = end == Marks::End::done;
@@ -450,8 +454,9 @@
   out.works = engine_.works();
   const Machine& machine = facts_.machine;
   if (module_) out.limit = module_->limit();
-  if (machine.cold && module_ && machine.warmWithin > 0s)
-    out.warmth = std::min(1.0, std::chrono::duration<double>(sinceOpened()) / machine.warmWithin);
+  if (coldSince_ && machine.warmWithin > 0s)
+    out.warmth = std::min(
+        1.0, std::chrono::duration<double>(net::Reactor::Clock::now() - *coldSince_) / machine.warmWithin);
   const auto now = standing();
   out.running = now.onCores + now.atCalls, out.held = now.held;
   out.read = readBefore_ + counts_.read, out.done = doneBefore_ + counts_.done;
@@ -466,7 +471,7 @@
   stopAt_ = net::Reactor::Clock::now() + place_.stopAfter;
   log_.line(net::Matter::drain, "told to leave within {} ms, {} reqs in hand",
             std::chrono::duration_cast<std::chrono::milliseconds>(place_.stopAfter).count(), table_.size());
-  openModule(facts_.machine.cold, 0s);
+  openModule(true, 0s);
   tell(LeaveNotice{std::max<Span>(place_.stopAfter - endMargin, 0s)});
   leaving_ = reactor_.after(leaveStepEvery, [this] { leaveStep(); });  // once the module has heard of it
 }
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -136,6 +136,7 @@
   double part_ = 1;                                // of the stated share of calls
   net::Reactor::Timer again_, reporting_, leaving_;
   std::optional<Moment> stopAt_;
+  std::optional<Moment> coldSince_;        // the engine's start, where that was a cold one
   std::optional<double> wantingCore_;      // as the engine said last
   bool fresh_ = false, draining_ = false;  // fresh: the module has not been asked yet
 };
--- a/src/standins/engine.cpp
+++ b/src/standins/engine.cpp
@@ -17,7 +17,8 @@
 
 }  // namespace
 
-Engine::Engine(std::chrono::milliseconds work, bool calls) : work_(work), calls_(calls) {
+Engine::Engine(std::chrono::milliseconds work, bool calls, bool cold)
+    : work_(work), calls_(calls), cold_(cold) {
   thread_ = std::thread([this] { run(); });
 }
 Engine::~Engine() {
@@ -31,6 +32,16 @@
   return launches_;
 }
 
+std::vector<std::pair<Clock::duration, std::size_t>> Engine::running() const {
+  const std::lock_guard lock(mutex_);
+  return counts_;
+}
+
+void Engine::count() {
+  const std::lock_guard lock(mutex_);
+  counts_.emplace_back(Clock::now() - startedAt_, running_.size());
+}
+
 void Engine::say(const std::string& line) {
   if (link_ >= 0) send(link_, line);
 }
@@ -60,6 +71,7 @@
         const auto it = running_.find(due.name);
         if (it == running_.end() || it->second != 1) continue;
         running_.erase(it);
+        count();
         say(net::jsonl::writeLine({{"msg", "outcome"},
                                    {"serial", ++notices_},
                                    {"call", due.name},
@@ -68,6 +80,7 @@
                                    {"blob", ""}}));
       } else if (due.ends) {
         running_.erase(due.name);
+        count();
         say(net::jsonl::writeLine({{"msg", "outcome"},
                                    {"serial", ++notices_},
                                    {"call", due.name},
@@ -94,17 +107,21 @@
   const auto what = said.value("msg", "");
   const auto name = said.value("call", "");
   if (what == "subscribe")
-    say(net::jsonl::writeLine({{"msg", "greeting"}, {"how", "warm"}, {"duration", 0}}));
+    say(net::jsonl::writeLine(
+        {{"msg", "greeting"},
+         {"how", cold_ ? "cold" : "warm"},
+         {"duration", std::chrono::duration<double, std::milli>(Clock::now() - startedAt_).count()}}));
   if (what == "sample")
     say(net::jsonl::writeLine(
         {{"msg", "sampled"},
          {"cookie", said["cookie"]},
          {"stats", {std::min(1.0, static_cast<double>(running_.size()) / 2), running_.size(), 0.1, 1}}}));
   if (what == "launch" && !running_.contains(name)) {
-    const std::lock_guard lock(mutex_);
-    ++launches_[name];
     running_[name] = 0;
+    count();
     due_.push({Clock::now() + work_ / 2, name, false, false});
+    const std::lock_guard lock(mutex_);
+    ++launches_[name];
   }
   if ((what == "deliver" || what == "forgo") && running_.contains(name) && running_[name] == 1) {
     running_[name] = 2;
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -118,20 +118,6 @@
   EXPECT_EQ(client.answer().what, What::done);
 }
 
-// The engine's link.
-
-// A link that is taken and never greeted, as one whose other end has gone, gives way to a new one.
-TEST(CrossingEngine, ALinkThatIsNeverGreetedIsMadeAgain) {
-  Peers w;
-  w.start(false);
-  auto dead = Line::accept(w.engineAt);
-  EXPECT_TRUE(dead.hear(net::jsonl::readLine));
-  w.link();
-  auto client = w.balancer();
-  client.ask(1, Balancer::fields(one));
-  EXPECT_EQ(w.launched(), one);
-}
-
 // Callers that read nothing of what they are sent, more of it than memory is set aside for: the furthest
 // behind are closed, and who reads gets answers all the while.
 TEST(CrossingClose, CallersThatReadNothingAreClosedBeforeTheyTakeAllTheMemory) {
@@ -172,6 +158,41 @@
   EXPECT_LT(ended, 12);
 }
 
+// The engine's link.
+
+// A link that is taken and never greeted, as one whose other end has gone, gives way to a new one.
+TEST(CrossingEngine, ALinkThatIsNeverGreetedIsMadeAgain) {
+  Peers w;
+  w.start(false);
+  auto dead = Line::accept(w.engineAt);
+  EXPECT_TRUE(dead.hear(net::jsonl::readLine));
+  w.link();
+  auto client = w.balancer();
+  client.ask(1, Balancer::fields(one));
+  EXPECT_EQ(w.launched(), one);
+}
+
+// Reqs that are read before the greeting, as in the turn of it: until the engine tells, it may have started
+// cold, and the reqs that wait at their calls are no more than a cold machine bears.
+TEST(CrossingEngine, ReqsReadBeforeTheGreetingOfAColdEngineBeginNoMoreThanItBears) {
+  Peers w;
+  w.settings["invariants"] = {{"fallMultiple", 8.0}, {"coldFrom", 0.1}, {"warmWithinNs", 20'000'000'000}};
+  w.start(false);
+  auto client = w.balancer();
+  for (int i = 1; i <= 12; ++i) client.ask(i, Balancer::fields(fmt::format("{:016x}", 0xe000 + i)));
+  client.health();
+  EXPECT_EQ(client.answer().what, What::good);  // all have been read
+  w.link("cold");
+  std::vector<Line> calls;
+  int begun = 0;
+  for (auto command = w.command(); command["msg"] == "launch"; command = w.command(), ++begun) {
+    w.wantsCall(command["call"], "please");
+    calls.push_back(Line::accept(w.nextAt));  // and has no reply
+  }
+  EXPECT_GT(begun, 0);
+  EXPECT_LE(begun, 2 * (1 + 7 * 0.1) + 1);  // and what it warms meanwhile
+}
+
 // A numbered notice that can't be read is taken all the same: it would come again on every link.
 TEST(CrossingEngine, ANoticeThatCannotBeReadEndsItsReqAndNotTheLink) {
   Peers w;
@@ -190,41 +211,6 @@
   EXPECT_EQ(w.launched(), three);
 }
 
-// The list.
-
-// What was said before may count after the news that took its place, so the news is said again soon.
-TEST(CrossingList, TheNewsIsSaidAgainSoon) {
-  Peers w;
-  w.start();
-  const auto report = [&] {
-    auto at = Line::accept(w.listAt);
-    const auto asked = at.hear(Asked::read);
-    at.say("HTTP/1.1 204 No Content\r\n\r\n");
-    return asked ? asked->body : std::string();
-  };
-  EXPECT_EQ(report(), R"({"duty":"on"})");
-  ::kill(::getpid(), SIGTERM);
-  std::string said;
-  while (said != R"({"duty":"off"})") said = report();
-  EXPECT_EQ(report(), R"({"duty":"off"})");  // before it leaves, half a second after the notice
-  w.waitForEnd();
-}
-
-// A list that takes connections and answers none, while there is news to be said: what is open stays bounded.
-TEST(CrossingList, OneThatNeverAnswersUsesUpNoDescriptors) {
-  Peers w;
-  w.start();
-  std::vector<Line> reports;
-  for (int i = 0; i < 5; ++i) {
-    reports.push_back(Line::accept(w.listAt));
-    ASSERT_TRUE(reports.back().hear(Asked::read));
-  }
-  // The first is given up after 2.5 s; until then there is no sixth.
-  reports.push_back(Line::accept(w.listAt));
-  ASSERT_TRUE(reports.back().hear(Asked::read));
-  reports.front().socket().setBlocking(false);
-  char none = 0;
-  EXPECT_EQ(reports.front().socket().receiveBytes(&none, 1), 0);  // an end; nothing to read would throw
 // After a pause of the machine, or whenever time went by unseen, an answer that lies unread is an answer.
 TEST(CrossingEngine, ALinkWhoseAnswerLiesUnreadIsNotGivenUp) {
   Peers w;
@@ -302,6 +288,41 @@
   EXPECT_FALSE(w.nextAt.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ));
 }
 
+// The list.
+
+// What was said before may count after the news that took its place, so the news is said again soon.
+TEST(CrossingList, TheNewsIsSaidAgainSoon) {
+  Peers w;
+  w.start();
+  const auto report = [&] {
+    auto at = Line::accept(w.listAt);
+    const auto asked = at.hear(Asked::read);
+    at.say("HTTP/1.1 204 No Content\r\n\r\n");
+    return asked ? asked->body : std::string();
+  };
+  EXPECT_EQ(report(), R"({"duty":"on"})");
+  ::kill(::getpid(), SIGTERM);
+  std::string said;
+  while (said != R"({"duty":"off"})") said = report();
+  EXPECT_EQ(report(), R"({"duty":"off"})");  // before it leaves, half a second after the notice
+  w.waitForEnd();
+}
+
+// A list that takes connections and answers none, while there is news to be said: what is open stays bounded.
+TEST(CrossingList, OneThatNeverAnswersUsesUpNoDescriptors) {
+  Peers w;
+  w.start();
+  std::vector<Line> reports;
+  for (int i = 0; i < 5; ++i) {
+    reports.push_back(Line::accept(w.listAt));
+    ASSERT_TRUE(reports.back().hear(Asked::read));
+  }
+  // The first is given up after 2.5 s; until then there is no sixth.
+  reports.push_back(Line::accept(w.listAt));
+  ASSERT_TRUE(reports.back().hear(Asked::read));
+  reports.front().socket().setBlocking(false);
+  char none = 0;
+  EXPECT_EQ(reports.front().socket().receiveBytes(&none, 1), 0);  // an end; nothing to read would throw
 }
 
 // Three hundred servers that lost the list at once, and were started at once, do not come back to it in step.
@@ -331,6 +352,8 @@
   reactor.letGo();
 }
 
+// Repeats.
+
 // A key that comes with another content, of the body or of the customer, is no repeat: it gets no result that
 // was not made for it, and it does not run beside the first either.
 TEST(CrossingRepeats, AKeyWithAnotherContentIsErroredAtOnce) {
@@ -408,29 +431,6 @@
   EXPECT_EQ(client.answer().what, What::errored);
 }
 
-// A newer try after the window that never runs does not make the server forget that an older one did.
-TEST(CrossingRepeats, ANewerTryThatNeverRanLeavesTheOlderOneKnown) {
-  using server::Marks;
-  Marks marks(1 << 20, 10s);
-  const Marks::Time at{1h};
-  const Marks::Key key{HandlerId{1}, "k", {}};
-  marks.keep(key, {}, ReqId{1}, at + 1s);
-  marks.ended(ReqId{1}, Marks::End::done, at, "result");
-  marks.expire(at + 2s);
-  EXPECT_FALSE(marks.firstOf(key, {}, ReqId{2}, at + 2s, at + 2s, 0s).first);
-  marks.turnEnds();
-  marks.keep(key, {}, ReqId{2}, at + 3s);
-  marks.forget(ReqId{2});
-  EXPECT_TRUE(marks.firstOf(key, {}, ReqId{3}, at + 900ms, at + 2s, 0s).first);  // came in time, read late
-  EXPECT_FALSE(marks.firstOf(key, {}, ReqId{4}, at + 1s, at + 2s, 0s).first);
-  marks.expire(at + 1h);
-  EXPECT_EQ(marks.size(), 0u);
-}
-
-}  // namespace
-}  // namespace rainhook
-// Repeats.
-
 // A req whose first never ran is nobody's repeat: it runs by itself, once, whatever became of the first.
 class CrossingFirst : public testing::Test {
  protected:
@@ -535,3 +535,24 @@
   EXPECT_EQ(client.answer().body, "paid");
 }
 
+// A newer try after the window that never runs does not make the server forget that an older one did.
+TEST(CrossingRepeats, ANewerTryThatNeverRanLeavesTheOlderOneKnown) {
+  using server::Marks;
+  Marks marks(1 << 20, 10s);
+  const Marks::Time at{1h};
+  const Marks::Key key{HandlerId{1}, "k", {}};
+  marks.keep(key, {}, ReqId{1}, at + 1s);
+  marks.ended(ReqId{1}, Marks::End::done, at, "result");
+  marks.expire(at + 2s);
+  EXPECT_FALSE(marks.firstOf(key, {}, ReqId{2}, at + 2s, at + 2s, 0s).first);
+  marks.turnEnds();
+  marks.keep(key, {}, ReqId{2}, at + 3s);
+  marks.forget(ReqId{2});
+  EXPECT_TRUE(marks.firstOf(key, {}, ReqId{3}, at + 900ms, at + 2s, 0s).first);  // came in time, read late
+  EXPECT_FALSE(marks.firstOf(key, {}, ReqId{4}, at + 1s, at + 2s, 0s).first);
+  marks.expire(at + 1h);
+  EXPECT_EQ(marks.size(), 0u);
+}
+
+}  // namespace
+}  // namespace rainhook
--- a/tests/fleet/crossing_test.cpp
+++ b/tests/fleet/crossing_test.cpp
@@ -10,6 +10,7 @@
 #include "../world.h"
 #include "fleet/process.h"
 #include "standins/engine.h"
+#include "standins/next.h"
 
 namespace rainhook::fleet {
 namespace {
@@ -45,7 +46,6 @@
     else
       std::filesystem::remove_all(folder_);
   }
-  void start() {
   // The peers' addresses as they are now; the file is not read before somebody says so.
   void at(Peers& peers) {
     config_["agent"] = peers.engineAt.address().toString();
@@ -53,6 +53,7 @@
     config_["roster"] = peers.listAt.address().toString();
     if (!folder_.empty()) write();
   }
+  void start() {
     process_ = std::make_unique<Process>(
         std::vector<std::string>{RAINHOOK_PROGRAM, "serve", "--config", file()}, folder_ + "/log");
   }
@@ -142,7 +143,6 @@
   EXPECT_EQ(w.process().waitFor(5s), 0);
 }
 
-// Clients that rest until the server ends them, one of them within a frame: each hears `closing`, then an end
 // Callers that come and come while the server leaves: its listener ends all the same, well before the stop,
 // and every one that got in is answered.
 TEST(CrossingProgram, AStreamOfNewCallersDoesNotKeepTheListenerOpen) {
@@ -167,6 +167,7 @@
   EXPECT_GE(answered(came), static_cast<int>(came.size()) - 1);
 }
 
+// Clients that rest until the server ends them, one of them within a frame: each hears `closing`, then an end
 // and no reset, and the server leaves in time; a req in the moment of the end is answered or was never taken.
 TEST(CrossingProgram, RestingClientsAreEndedInOrderAndTheDrainIsNotLateForThem) {
   Program w(1500, 256);
@@ -213,7 +214,6 @@
   EXPECT_EQ(w.process().waitFor(5s), 0);
 }
 
-// Killed with reqs in flight and the old process's connections open, and started at once under its name.
 // A req on a connection that rests, sent in the moment in which the server ends it: it is served, and the
 // connection goes on.
 TEST(CrossingProgram, AReqInTheMomentOfTheEndOfARestingConnectionIsServed) {
@@ -369,6 +369,7 @@
   EXPECT_EQ(second.answer().what, What::done);
 }
 
+// Killed with reqs in flight and the old process's connections open, and started at once under its name.
 TEST(CrossingProgram, NineInTenOfTwentyKilledAndStartedAgainAreReadyWithinTenSeconds) {
   std::vector<std::unique_ptr<Program>> fleet;
   for (int i = 0; i < 20; ++i) fleet.push_back(std::make_unique<Program>(3000, 64, 500ms));
@@ -390,5 +391,47 @@
   std::cout << ready << " of 20 ready, the slowest " << slowest.count() << " ms after the one before\n";
 }
 
+// Thirty servers that started cold at once, each asked for far more than it can do, with runs that wait long
+// at their calls: what they have begun, and what they call below with it, stays below what the settings allow
+// cold servers, for each and so for the sum, with none of it put down to chance.
+TEST(CrossingProgram, ThirtyColdServersBeginNoMoreThanTheSettingsAllowEach) {
+  constexpr double cores = 2, multiple = 8, coldFrom = 0.2;
+  constexpr std::size_t size = 30;
+  constexpr auto warmWithin = 4s, watched = 2s;
+  nlohmann::json settings = Peers().settings;
+  settings["invariants"]["fallMultiple"] = multiple, settings["invariants"]["coldFrom"] = coldFrom;
+  settings["invariants"]["warmWithinNs"] = std::chrono::nanoseconds(warmWithin).count();
+  const auto allowed = [&](std::chrono::duration<double> age) {
+    return cores * (1 + (multiple - 1) * (coldFrom + (1 - coldFrom) * std::min(1.0, age / warmWithin)));
+  };
+  standins::Next next(10s);
+  std::vector<std::unique_ptr<Program>> fleet;
+  std::vector<Balancer> callers;
+  for (std::size_t i = 0; i < size; ++i) {
+    fleet.push_back(std::make_unique<Program>(std::make_unique<standins::Engine>(2ms, true, true),
+                                              next.address(), settings));
+    fleet.back()->ready();
+    callers.push_back(fleet.back()->balancer());
+    for (int number = 1; number <= 30; ++number)
+      callers.back().ask(number, Balancer::fields(reqName(number)));
+  }
+  // Those that started last have been watched long enough, too.
+  std::this_thread::sleep_for(watched);
+  std::size_t begun = 0;
+  double allowedInAll = 0;
+  for (const auto& program : fleet) {
+    std::size_t here = 0;
+    for (const auto& [age, running] : program->engine().running()) {
+      EXPECT_LE(static_cast<double>(running), allowed(age));
+      if (age < watched) here = std::max(here, running);
+    }
+    begun += here, allowedInAll += allowed(watched);
+  }
+  EXPECT_GT(begun, size * static_cast<std::size_t>(cores));  // it is no empty promise
+  EXPECT_LE(static_cast<double>(begun), allowedInAll);
+  for (const double inHand : next.inHand()) EXPECT_LE(inHand, allowedInAll);
+  std::cout << begun << " begun at most by " << size << " servers, " << allowedInAll << " allowed\n";
+}
+
 }  // namespace
 }  // namespace rainhook::fleet
