--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -85,9 +85,9 @@
   const auto millis = [](Span span) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
   };
-  const auto or_ = [](const std::string& address) { return address.empty() ? "none" : address; };
+  const auto orNone = [](const std::string& address) { return address.empty() ? "none" : address; };
   fmt::print("{} listens at {}; engine {}, list {}, next tier {}\n", place.name, place.listen, place.engine,
-             or_(place.list), or_(place.next));
+             orNone(place.list), orNone(place.next));
   fmt::print("limits: {} descriptors, {} MB; {} ms from the notice to leave to the stop\n", place.descriptors,
              place.memoryMb, millis(place.stopAfter));
   fmt::print("{} cores, {:.0f} kB for reqs, {} customers\n", facts.machine.cores, facts.machine.memoryKb,
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -373,7 +373,7 @@
     if (!opened_) {
       opened_ = true;
       say(SayHealth{true, true});
-      say(SetTimer{tick_, tickEvery});
+      say(SetTimer{tick, tickEvery});
     }
     for (const auto& event : happened) std::visit([this](const auto& e) { take(e); }, event);
     path(secs);
@@ -454,8 +454,8 @@
   void take(const CallShare& e) { calls_.allow(e.part); }
   void take(const MachineStarted& e) { guard_.started(e.cold, now_ - e.ago); }
   void take(const TimerRang& e) {
-    if (e.timer != tick_) return;
-    say(SetTimer{tick_, tickEvery});
+    if (e.timer != tick) return;
+    say(SetTimer{tick, tickEvery});
     if (e.wantingCore) notRuns_ += (*e.wantingCore - onCores() - notRuns_) * 0.02;
     if (e.connections) trimConnections(*e.connections);
     // Idle cores with work held: told at this moment by the gauge, against what this server has on its cores.
@@ -720,7 +720,7 @@
   }
   void say(Action action) { out_.push_back(std::move(action)); }
 
-  static constexpr TimerId tick_{1};
+  static constexpr TimerId tick{1};
   static constexpr Span tickEvery = 25ms, dueMargin = 30ms;
   // The protocol's slack, and what times of arrival in whole milliseconds may be off, at either end.
   static constexpr Span keepMargin = 52ms;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -266,8 +266,8 @@
   client.owed.emplace(message.sequence, ReqId{});
   const Ticket ticket = req.ticket;
   const auto taken = hearer_.reqCame(std::move(req));
-  if (const auto* taken_ = std::get_if<ReqId>(&taken))
-    client.owed[message.sequence] = *taken_;
+  if (const auto* entered = std::get_if<ReqId>(&taken))
+    client.owed[message.sequence] = *entered;
   else
     errored(ticket, std::get<std::string_view>(taken));
 }
--- a/src/options/options.cpp
+++ b/src/options/options.cpp
@@ -16,21 +16,21 @@
 namespace rainhook::options {
 namespace {
 
-constexpr std::uint64_t kB = 1 << 10, MB = 1 << 20, GB = 1 << 30;
+constexpr std::uint64_t kib = 1 << 10, mib = 1 << 20, gib = 1 << 30;
 
 StorePlace storePlace(Section given) {
   StorePlace out;
   store::StoreBounds& b = out.bounds;
   out.folder = given.text("folder");
-  b.diskBytes = given.bytes("disk_bytes", b.diskBytes, 256 * kB, 1024 * GB);
-  b.segmentBytes = given.bytes("segment_bytes", b.segmentBytes, 16 * kB, GB);
-  b.indexBytes = given.bytes("index_bytes", b.indexBytes, 64 * kB, 64 * GB);
-  b.queueBytes = given.bytes("queue_bytes", b.queueBytes, 4 * kB, GB);
-  b.longestKey = given.bytes("longest_key", b.longestKey, 1, 64 * kB - 1);
-  b.longestValue = given.bytes("longest_value", b.longestValue, 1, 256 * MB);
+  b.diskBytes = given.bytes("disk_bytes", b.diskBytes, 256 * kib, 1024 * gib);
+  b.segmentBytes = given.bytes("segment_bytes", b.segmentBytes, 16 * kib, gib);
+  b.indexBytes = given.bytes("index_bytes", b.indexBytes, 64 * kib, 64 * gib);
+  b.queueBytes = given.bytes("queue_bytes", b.queueBytes, 4 * kib, gib);
+  b.longestKey = given.bytes("longest_key", b.longestKey, 1, 64 * kib - 1);
+  b.longestValue = given.bytes("longest_value", b.longestValue, 1, 256 * mib);
   b.openFiles = given.count("open_files", b.openFiles, 2, 4096);
-  b.stepBytes = given.bytes("step_bytes", b.stepBytes, 4 * kB, 16 * MB);
-  b.compressFrom = given.bytes("compress_from", b.compressFrom, 64, 256 * MB);
+  b.stepBytes = given.bytes("step_bytes", b.stepBytes, 4 * kib, 16 * mib);
+  b.compressFrom = given.bytes("compress_from", b.compressFrom, 64, 256 * mib);
   b.commitMost = given.count("commit_most", b.commitMost, 1, 65536);
   given.end();
   if (b.segmentBytes > b.diskBytes / 8) given.fault("segment_bytes", "is over an eighth of disk_bytes");
