--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -467,6 +467,13 @@
     client.ask(5, paid(three));
     allIsRead();
   }
+  // With both repeats waiting for it.
+  void launchFirst() {
+    freeACore();
+    client.ask(3, paid(one));
+    EXPECT_EQ(w.launched(), one);
+    askBoth();
+  }
   void freeACore() {
     w.ends(busy[0]);
     EXPECT_EQ(client.answer().number, 1);
@@ -505,20 +512,14 @@
 }
 
 TEST_F(CrossingFirst, RefusedByTheEngineLeavesARunToItsRepeats) {
-  freeACore();
-  client.ask(3, paid(one));
-  EXPECT_EQ(w.launched(), one);
-  askBoth();
+  launchFirst();
   w.tell({{"msg", "refusal"}, {"how", "launch"}, {"call", one}});
   EXPECT_EQ(client.answer().what, What::errored);
   oneRunServesBoth();
 }
 
 TEST_F(CrossingFirst, NeverBegunAtTheEngineLeavesARunToItsRepeats) {
-  freeACore();
-  client.ask(3, paid(one));
-  EXPECT_EQ(w.launched(), one);
-  askBoth();
+  launchFirst();
   client.cancel(3);
   allIsRead();
   w.ends(one, "void", "");
@@ -528,10 +529,7 @@
 // The other side of it: what was launched may have run, whatever its caller does, and no repeat runs beside
 // it.
 TEST_F(CrossingFirst, CancelledWhileItRunsKeepsItsRepeatsWaitingForIt) {
-  freeACore();
-  client.ask(3, paid(one));
-  EXPECT_EQ(w.launched(), one);
-  askBoth();
+  launchFirst();
   client.cancel(3);
   allIsRead();
   w.ends(busy[1]);
