--- /dev/null
+++ b/deploy/sites/make.py
@@ -0,0 +1,98 @@
+#!/usr/bin/env python3
+"""Two deployments unlike the others, for the operators' bench: `crowded` has many of everything and little room,
+`plain` has one of everything or none. Both are made from a site file of the kit, with what stands here put in its
+place, into deploy/sites/made, which git does not keep. Ends with 2 where the kit is not there."""
+
+import copy
+import json
+import pathlib
+import shutil
+import sys
+import tomllib
+
+here = pathlib.Path(__file__).resolve().parent
+kit = here.parents[2] / "given/kit/more/mass/other"
+beside = ("real.json", "wire.json", "unlock.txt")
+
+
+def crowded(site):
+    names = ["plan.read", "plan/write", "Zug & Gleis", "späť-lookup", "x", "ticket:buy#1", "a_very_long_name-" + "y" * 40,
+             "50%", "quote'd", "seat+map", "名前", "refund"]
+    effects = ["safe", "keyed", "unsafe"]
+    site["name"] = "crowded"
+    site["class"] = [
+        {"name": name, "share": 1 + at % 3, "work_ms": [60 + 10 * at, 110 + 10 * at], "dist": "lognormal",
+         "cv": [0.4, 1.1], "aim_ms": 700 + 60 * (at % 5), "deadline_ms": 1500 + 150 * (at % 4), "worth": 1 + at % 4,
+         "late_worth": 0.1 if at % 2 else 0, "effect": effects[at % 3], "write": at % 3 != 0,
+         **({"window_ms": 1700 + 300 * (at % 4)} if at % 3 == 1 else {})}
+        for at, name in enumerate(names)]
+    site["tenant"] = [{"name": name, "share": 1 + at % 4} for at, name in enumerate(
+        ["a", "B-2", "c.d", "É", "north east", "0", "t" * 60] + [f"tenant-{n:02}" for n in range(13)])]
+    site["load"].update(keys=[2000, 9000], over_share_worth=0.1, quota_of_capacity=[0.6, 0.9])
+    site["clients"].update(retries=[1, 2.99], honour=[0.3, 0.8])
+    site["rules"].update(drain_grace_ms=900, fall_multiple=5, fall_ms=1200)
+    site["goal"].update(whole=0.4, worst_window=0.2, worst_class=0.2, worst_tenant=0.2)
+    site["fam"].update(callers=["two", "hasty", "least+retry", "copies"], habits=[1, 3], say="level", memory_runs=[8, 9],
+                       run_factor=4, key_room=[0.35, 0.4], passes_deadline=False, tells_gone=True, halt="drop",
+                       fresh_ms=0)
+    site["fam"]["class"] = [{"calls": at % 3 * 0.6, "skip_worth": 0, "memory": 1 + at % 2} for at in range(len(names))]
+
+
+def plain(site):
+    site["name"] = "plain"
+    site["class"] = [{"name": "only", "share": 1, "work_ms": [500, 900], "dist": "exp", "aim_ms": 6000,
+                      "deadline_ms": 20000, "worth": 1, "late_worth": 0.4, "effect": "safe"}]
+    site.pop("tenant", None)
+    site["load"].update(keys=0, worth_by="work", hints="rough")
+    site["load"].pop("key_zipf", None)
+    site["clients"].update(retries=0)
+    site["net"].update(zones=["hall"], cross_ms=[0.4, 0.8])
+    site["rules"].update(drain_grace_ms=400, fall_multiple=4, fall_ms=2500)
+    site["goal"].update(whole=0.9, worst_window=0.1, worst_class=0, worst_tenant=0)
+    site["prices"].update(waste=0.02, late_fail=0, origin=0.03, handshake=0.02)
+    for kind in site["tier"][0]["kind"]:
+        kind.update(cores=3)
+    site["fam"].update(callers=["round", "stock", "checked"], habits=[1, 2], say="credit", passes_deadline=True,
+                       tells_gone=False, halt="none", intake=[0.02, 0.05], run_factor=8)
+    site["fam"]["class"] = [{"calls": 1, "skip_worth": 0, "memory": 1}]
+
+
+def text(value):
+    if isinstance(value, bool):
+        return str(value).lower()
+    if isinstance(value, list):
+        return "[" + ", ".join(text(item) for item in value) + "]"
+    return json.dumps(value, ensure_ascii=False)
+
+
+def write(table, path=()):
+    lines = [f"{key} = {text(value)}" for key, value in table.items() if not nested(value)]
+    for key, value in table.items():
+        if isinstance(value, dict):
+            lines += ["", f"[{'.'.join([*path, key])}]", write(value, (*path, key))]
+        elif nested(value):
+            for entry in value:
+                lines += ["", f"[[{'.'.join([*path, key])}]]", write(entry, (*path, key))]
+    return "\n".join(lines)
+
+
+def nested(value):
+    return isinstance(value, dict) or (isinstance(value, list) and bool(value) and isinstance(value[0], dict))
+
+
+if not kit.is_dir():
+    print(f"make sites: {kit} is not there, so there is nothing to make them from", file=sys.stderr)
+    sys.exit(2)
+base = tomllib.loads(next(kit.glob("*.toml")).read_text())
+base.pop("stock", None)  # days of their own
+for change in (crowded, plain):
+    site = copy.deepcopy(base)
+    change(site)
+    made = here / "made" / site["name"]
+    made.mkdir(parents=True, exist_ok=True)
+    (made / f"{site['name']}.toml").write_text(write(site) + "\n")
+    for name in beside:
+        target = made / name
+        target.unlink(missing_ok=True)
+        shutil.copyfile(kit / name, target)
+    print(made / f"{site['name']}.toml")
