--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -8,6 +8,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -74,9 +75,6 @@
         self.piece_share = 1 / 3   # the share of notices that come in pieces
         self.outgoing = None
         self.hold = False          # nothing is read while it is set
-        self.samples = []          # (time, requests on the cores)
-        self.maxmem = 0
-        self.deaf = False          # commands are dropped, as on a link that is about to break
         self.refusals = 0
         self.wrong_replies = []
         self.expected_reply = lambda rid, body: b""
@@ -147,8 +145,7 @@
                     return
                 *lines, unread = unread.split(b"\n")
                 for line in lines:
-                    if not self.deaf:
-                        self.on_command(json.loads(line))
+                    self.on_command(json.loads(line))
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
@@ -201,23 +198,8 @@
         self.running[rid] = {"waiting": None, "serial": 0}
         asyncio.ensure_future(self.run(rid, request, body))
 
-    def on_cores(self, change):
-        self.active += change
-        self.samples.append((time.time(), self.active))
-
-    def maxmean(self, window=1.5):
-        """The largest mean number of requests on the cores over the window."""
-        best, area, begin = 0.0, [0.0], 0
-        for i in range(1, len(self.samples)):
-            area.append(area[-1] + (self.samples[i][0] - self.samples[i - 1][0]) * self.samples[i - 1][1])
-        for i in range(len(self.samples)):
-            while self.samples[i][0] - self.samples[begin][0] > window:
-                begin += 1
-            best = max(best, (area[i] - area[begin]) / window)
-        return best
-
     async def work(self, seconds):
-        self.on_cores(1)
+        self.active += 1
         done = 0.0
         while done < seconds:
             step = min(0.02, seconds - done)
@@ -225,7 +207,7 @@
             while self.hold:
                 await asyncio.sleep(0.005)
             done += step
-        self.on_cores(-1)
+        self.active -= 1
 
     async def run(self, rid, request, body):
         began = time.time()
@@ -273,10 +255,6 @@
         self.server = await asyncio.start_server(self.on_connection, host, port)
         return self.server
 
-    def close_connections(self):
-        for writer in list(self.connections):
-            writer.transport.abort()
-
     async def on_connection(self, reader, writer):
         self.connections.add(writer)
         try:
@@ -403,13 +381,6 @@
         if not request["future"].done():
             request["future"].set_result(outcome)
 
-    def reset(self):
-        if self.writer is not None:
-            self.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                                                            struct.pack("ii", 1, 0))
-            writer, self.writer = self.writer, None
-            writer.transport.abort()
-
     async def send(self, method, body, budget_ms, token=None, rid=None, extra=None):
         """Writes a request and returns its entry; raises OSError if the server cannot be reached."""
         async with self.connecting:
@@ -501,6 +472,8 @@
             self.process.send_signal(signal.SIGCONT)
             self.process.kill()
             self.process.wait()
+        self.log.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def settings(classes, **changes):
