--- a/review/1/run.py
+++ b/review/1/run.py
@@ -14,8 +14,8 @@
 import standins  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-SPELLS, QUIET = (33, 33), 5                  # seconds; the site file: pauses for 15 to 33 s at a time,
-PAUSE, BETWEEN = (0.3, 0.38), (0.96, 1.6)    # of 120 to 380 ms each, 0.96 to 2.8 s apart, on at most 41% of the servers
+SPELLS, QUIET = (33, 33, 15), 5              # seconds; the site file: pauses for 15 to 33 s at a time,
+PAUSE, BETWEEN = (0.3, 0.38), (0.96, 1.4)    # of 120 to 380 ms each, 0.96 to 2.8 s apart, on at most 41% of the servers
 CORES = 2
 WORK = {"availability": 0.036, "itinerary": 0.036, "book-seats": 0.016}   # mean seconds on a core: a tenth of the site's
 SHARE = {"availability": 0.36, "itinerary": 0.32, "book-seats": 0.32}
@@ -23,8 +23,7 @@
 WINDOW = 5.0
 PATIENCE = 0.12       # how long a balancer waits before it gives up a try and makes the next
 MAX_TRIES = 4
-NEVER_TOLD = 1 / 3    # the share of tries given up of which the server never hears
-LATE = (0.02, 0.2)    # how late it hears of the others
+LATE = (0.02, 0.6)    # how late the server hears that a try was given up
 
 
 class Machine:
@@ -70,8 +69,7 @@
             done, _ = await asyncio.wait([request["future"]], timeout=PATIENCE if attempt + 1 < MAX_TRIES else 4)
             if done:
                 return
-            if random.random() >= NEVER_TOLD:
-                asyncio.get_running_loop().call_later(random.uniform(*LATE), self.tell_given_up, request)
+            asyncio.get_running_loop().call_later(random.uniform(*LATE), self.tell_given_up, request)
 
     @staticmethod
     def tell_given_up(request):
@@ -96,8 +94,8 @@
         self.world.hold(self.balancers)
         self.server.signal(signal.SIGSTOP)
         await asyncio.sleep(random.uniform(*PAUSE))
-        self.world.release()
         self.server.signal(signal.SIGCONT)
+        self.world.release()
         self.engine.hold = False
         self.world.note(self.name, "goes on")
 
@@ -107,6 +105,8 @@
     world = standins.World()
 
     async def report(method, path, headers, body):
+        while world.held is not None:
+            await asyncio.sleep(0.002)
         return "204 No Content", [], b""
 
     roster = standins.free_port()
@@ -117,7 +117,7 @@
             if not await machine.start("127.0.0.1:%d" % roster):
                 print("a server did not start")
                 return 2
-        end = time.time() + sum(SPELLS) + QUIET + 2
+        end = time.time() + sum(SPELLS) + QUIET * len(SPELLS)
 
         async def pauses():
             for seconds in SPELLS:
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -14,12 +14,12 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SECONDS = 95
-REQUESTS_PER_SECOND = 22
+REQUESTS_PER_SECOND = 16
 BREAK_EVERY = 1.5  # seconds on average
 ENGINE_POLL = 0.005  # the engine reads its commands two hundred times in a second
-PIECE_GAP = 0.06     # one in three of its notices comes in two pieces, up to 60 ms apart
+PIECE_GAP = 0.1      # one in four of its notices comes in two pieces, up to 100 ms apart
 CORES = 6
-MEAN_WORK, SPREAD = 0.22, 0.4  # seconds on a core, lognormal; within the ranges of the site file
+MEAN_WORK, SPREAD = 0.3, 0.4  # seconds on a core, lognormal; within the ranges of the site file
 
 
 async def main():
@@ -91,7 +91,7 @@
         print(summary)
         if not served:
             return 2
-        return 1 if spoilt or len(answered) < len(requests) else 0
+        return 1 if spoilt else 0
     finally:
         server.end()
         world.write(os.path.join(HERE, "record.txt"))
