--- a/review/1/run.py
+++ b/review/1/run.py
@@ -121,7 +121,7 @@
 
         async def pauses():
             for seconds in SPELLS:
-                until = time.time() + seconds
+                until = time.time() + seconds - PAUSE[1]
                 while TROUBLE and time.time() < until:
                     await machines[0].stand_still()
                     await asyncio.sleep(random.uniform(*BETWEEN))
