Readmit duplicates after the policy's actions, so that one keyed request runs once

Cause: in one iteration of the event loop the server read a duplicate D of the queued request X, the cancellation of X, and another duplicate C. C found the key free and was registered as an original. While the server performed the policy's actions in order, it readmitted D (the original was never executed) before it retained C, and the registrations had been removed before the actions. D found the key free, too.

Fix: duplicates that lose their original are readmitted when all actions of the iteration have been performed, and registrations last until then. Each keyed request is then retained or has ended. A duplicate that was given up is not in flight any more.

--- a/src/server/deduplication_cache.h
+++ b/src/server/deduplication_cache.h
@@ -112,7 +112,8 @@
   [[nodiscard]] Lookup findOriginalOrRegister(const Key& key, const PayloadFingerprint& fingerprint,
                                               const Arrival& arrival);
 
-  /// Removes the registrations of this iteration.
+  /// Removes the registrations of this iteration. Called when each registered request is retained or does not
+  /// need to be.
   void onIterationEnd() { registeredInIteration_.clear(); }
 
   /// Retains the request under its key until the given time. If it is retained already, changes that time.
--- a/src/server/request_server.cpp
+++ b/src/server/request_server.cpp
@@ -136,16 +136,19 @@
   pendingEvents_.push_back(event);
 }
 
+// The registrations of the deduplication cache last until all actions have been performed, when each keyed
+// request of this iteration is retained or has ended. Only then are duplicates readmitted.
 void RequestServer::onIterationEnd() {
   if (!policy_) return;
   if (pendingEvents_.empty() && !std::exchange(isPolicyNew_, false)) return;
-  deduplicationCache_.onIterationEnd();
   deduplicationCache_.expire(std::chrono::system_clock::now());
   const std::vector<Event> events = std::exchange(pendingEvents_, {});
   const Duration now = net::Reactor::Clock::now() - policyEpoch_;
   for (const Action& action : policy_->onEvents(now, events))
     std::visit([this](const auto& typedAction) { perform(typedAction); }, action);
+  deduplicationCache_.onIterationEnd();
   neverExecuted_.clear();
+  readmitDuplicates();
 }
 
 // Callbacks of the peers.
@@ -351,15 +354,23 @@
 void RequestServer::releaseDuplicates(RequestId original) {
   if (!neverExecuted_.insert(original).second) return;
   deduplicationCache_.drop(original);
-  for (const RequestId id : requests_.duplicatesAwaiting(original)) readmit(id);
+  for (const RequestId id : requests_.duplicatesAwaiting(original)) {
+    requests_.stopAwaitingOriginal(id, *requests_.find(id));
+    duplicatesToReadmit_.insert(id);
+  }
+}
+
+// Readmits the duplicates that lost their original in this iteration. The policy's actions have been
+// performed by now: a duplicate that was given up is not in flight any more, and the others find the request
+// that has become the original of their key meanwhile.
+void RequestServer::readmitDuplicates() {
+  for (const RequestId id : std::exchange(duplicatesToReadmit_, {}))
+    if (InFlightRequest* request = requests_.find(id)) readmit(id, *request);
 }
 
 // Submits the request to the policy again as a new arrival with the time that remains to its client.
-void RequestServer::readmit(RequestId id) {
-  InFlightRequest& request = *requests_.find(id);
+void RequestServer::readmit(RequestId id, InFlightRequest& request) {
   addEvent(ExecutionEnded{id, Outcome::failed, net::Reactor::Clock::now() - request.stateSince});
-  requests_.stopAwaitingOriginal(id, request);
-
   peers::IncomingRequest& incoming = request.incoming;
   const auto now = std::chrono::system_clock::now();
   const Duration waited = std::max<Duration>(now - incoming.readAt, 0s);
--- a/src/server/request_server.h
+++ b/src/server/request_server.h
@@ -132,7 +132,8 @@
   // Duplicates and their originals.
   DeduplicationCache::Lookup findOriginalOrRegister(RequestId id, const peers::IncomingRequest& request);
   void releaseDuplicates(RequestId original);
-  void readmit(RequestId id);
+  void readmitDuplicates();
+  void readmit(RequestId id, InFlightRequest& request);
   void endOriginal(RequestId original, DeduplicationCache::OriginalState state, const std::string& result);
   void answerDuplicate(RequestId id, InFlightRequest& request, DeduplicationCache::OriginalState state,
                        const std::string& result);
@@ -165,7 +166,8 @@
   bool isPolicyNew_ = false;    // makes the next iteration call the policy even without events
   double downstreamQuota_ = 1;  // share of the configured quota
   std::vector<Event> pendingEvents_;
-  std::set<RequestId> neverExecuted_;  // found in this iteration not to have been executed
+  std::set<RequestId> neverExecuted_;        // found in this iteration not to have been executed
+  std::set<RequestId> duplicatesToReadmit_;  // at the end of this iteration
   net::Reactor::Timer wakeUpTimer_;
   std::uint32_t lastRequestId_ = 0;
   std::optional<TimePoint> coldStartedAt_;     // the engine's start, if it was a cold start
--- a/src/server/request_server_actions.cpp
+++ b/src/server/request_server_actions.cpp
@@ -67,17 +67,19 @@
 void RequestServer::perform(const AnswerFromOriginal& action) {
   InFlightRequest* request = requests_.find(action.id);
   if (request == nullptr) return;
-  request->state = RequestState::awaitingOriginal;
   request->stateSince = net::Reactor::Clock::now();
   const std::optional<RequestId> original = request->duplicateOf;
+  if (original && neverExecuted_.contains(*original)) {
+    duplicatesToReadmit_.insert(action.id);
+    return;
+  }
   const auto* cached = original ? deduplicationCache_.find(*original) : nullptr;
-  if (cached == nullptr && original && neverExecuted_.contains(*original)) {
-    readmit(action.id);
-  } else if (cached == nullptr) {
+  if (cached == nullptr) {
     answerDuplicate(action.id, *request, OriginalState::failed, {});
   } else if (cached->state != OriginalState::pending) {
     answerDuplicate(action.id, *request, cached->state, cached->result);
   } else {
+    request->state = RequestState::awaitingOriginal;
     requests_.awaitOriginal(*original, action.id);
   }
 }
--- a/tests/server_deduplication_test.cpp
+++ b/tests/server_deduplication_test.cpp
@@ -1,5 +1,9 @@
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <iterator>
+#include <set>
+
 #include "support/test_server.h"
 
 namespace rainhook {
@@ -163,6 +167,102 @@
   EXPECT_EQ(client.receiveResponse().kind, ResponseKind::failed);
 }
 
+// Guards against a failure of a duplicate that may be executed: its cancelled original was the second use of
+// the key, and the cache still has the first one, whose window has ended.
+TEST_F(ServerDeduplication, ExecutesDuplicateWhenCancelledOriginalUsedKeyAgainAfterItsWindow) {
+  server.settings["classes"][1]["windowNs"] = 100'000'000;
+  server.start();
+  auto client = server.connectBalancer();
+  auto fields = FakeBalancer::keyedRequestFields(requestA);
+  fields["t0"] = std::to_string(std::stoll(fields["t0"]) - 200);  // its window has ended when it is read
+  client.sendRequest(1, fields, "body");
+  EXPECT_EQ(engine.nextStartedRequest(), requestA);
+  engine.endExecution(requestA);
+  EXPECT_EQ(client.receiveResponse().kind, ResponseKind::completed);
+  const std::string busyRequests[] = {"00000000000000c1", "00000000000000c2"};
+  std::int32_t number = 1;
+  for (const std::string& name : busyRequests) {
+    client.sendRequest(++number, FakeBalancer::requestFields(name));
+    EXPECT_EQ(engine.nextStartedRequest(), name);
+  }
+  client.sendRequest(4, FakeBalancer::keyedRequestFields(requestB), "body");
+  client.sendHealthCheck();
+  EXPECT_EQ(client.receiveResponse().kind, ResponseKind::healthy);
+  client.send(FakeBalancer::encodeRequest(5, FakeBalancer::keyedRequestFields(requestC), "body") +
+              FakeBalancer::encodeCancellation(4));
+  client.sendHealthCheck();
+  EXPECT_EQ(client.receiveResponse().kind, ResponseKind::healthy);
+  engine.endExecution(busyRequests[0]);
+  EXPECT_EQ(engine.nextStartedRequest(), requestC);
+}
+
+// Tests a duplicate that loses its original and is given up by the policy in one batch.
+class ServerGivenUpDuplicate : public ServerTest {
+ protected:
+  static constexpr int maxExecutions = 16;  // on the two cores, by the settings
+  static constexpr auto timeLeft = 25ms;    // within the margin in which the policy gives a request up
+
+  ServerGivenUpDuplicate() {
+    server.settings["classes"][1]["lateWorth"] = 0.5;
+    engine.gauges = {1.0, 2, 0.1, 3};  // busy cores, so that the policy has no reason to raise its limit
+    server.start();
+    client = server.connectBalancer();
+  }
+
+  std::string nextName() { return fmt::format("{:016x}", ++lastNumber_); }
+  std::int32_t lastNumber() const { return lastNumber_; }
+
+  // Sends a request whose execution must start at once, and returns its name.
+  std::string startExecution(const std::string& handler = "read") {
+    const std::string name = nextName();
+    client.sendRequest(lastNumber_, FakeBalancer::requestFields(name, handler));
+    EXPECT_EQ(engine.nextStartedRequest(), name);
+    return name;
+  }
+
+  void endExecution(const std::string& name) {
+    engine.endExecution(name);
+    EXPECT_EQ(client.receiveResponse().kind, ResponseKind::completed);
+  }
+
+  // In one batch, an execution ends, a queued original is cancelled, and its duplicate has no time left.
+  void giveUpDuplicateOfCancelledOriginal(const std::string& executing) {
+    auto fields = FakeBalancer::keyedRequestFields(nextName());
+    const std::int32_t original = lastNumber_;
+    client.sendRequest(original, fields);
+    client.sendHealthCheck();
+    EXPECT_EQ(client.receiveResponse().kind, ResponseKind::healthy);
+    server.whilePaused([&] {
+      fields["rid"] = nextName();
+      fields["t0"] = FakeBalancer::requestFields(fields["rid"])["t0"];
+      fields["budget"] = std::to_string(timeLeft.count());
+      client.send(FakeBalancer::encodeRequest(lastNumber_, fields, "body") +
+                  FakeBalancer::encodeCancellation(original));
+      engine.endExecution(executing);
+    });
+    EXPECT_NE(client.receiveResponse().sequenceNumber, original);
+    EXPECT_NE(client.receiveResponse().sequenceNumber, original);
+  }
+
+  FakeBalancer client;
+
+ private:
+  std::int32_t lastNumber_ = 0;
+};
+
+// Guards against a place on the cores that is never freed: the duplicate must not reach the policy as a new
+// arrival after it was given up. After as many leaks as there are places, nothing would be executed.
+TEST_F(ServerGivenUpDuplicate, TakesNoPlaceOnTheCoresWhenItsOriginalIsCancelledInSameIteration) {
+  for (int i = 0; i < 30; ++i) endExecution(startExecution("pay"));  // the policy learns that these are short
+  std::string executing = startExecution();
+  startExecution();  // occupies the other core throughout
+  for (int round = 0; round < maxExecutions; ++round) {
+    giveUpDuplicateOfCancelledOriginal(executing);
+    executing = startExecution();
+    if (HasFailure()) return;
+  }
+}
+
 // Tests how an original ends while duplicates wait for it. If the original was never executed, one of its
 // duplicates is executed and the others get its result. Both cores are busy initially, so that requests are
 // queued.
@@ -197,6 +297,22 @@
     EXPECT_EQ(engine.nextStartedRequest(), laterRequest);
   }
 
+  // Expects that only one of the two duplicates is started, whichever it is, and that both get its result.
+  void expectOneExecutionForEitherDuplicate() {
+    const std::string started = engine.nextStartedRequest();
+    EXPECT_TRUE(started == requestB || started == requestC) << started;
+    engine.endExecution(started, "ok", "paid");
+    std::set<std::int32_t> answered;
+    for (std::size_t i = 0; i < std::size(duplicateNumbers); ++i) {
+      const Response response = client.receiveResponse();
+      answered.insert(response.sequenceNumber);
+      EXPECT_EQ(response.body, "paid");
+    }
+    EXPECT_EQ(answered, std::set(std::begin(duplicateNumbers), std::end(duplicateNumbers)));
+    client.sendRequest(laterNumber, FakeBalancer::requestFields(laterRequest));
+    EXPECT_EQ(engine.nextStartedRequest(), laterRequest);
+  }
+
   void waitUntilAllMessagesAreRead() {
     client.sendHealthCheck();
     EXPECT_EQ(client.receiveResponse().kind, ResponseKind::healthy);
@@ -244,6 +360,21 @@
   expectOneExecutionForBothDuplicates();
 }
 
+// Guards against two executions of one keyed request, as after a pause of the process: the cancellation of
+// the queued original is read between two of its duplicates. The first of them then has no original any more,
+// and the second one becomes an original of its own.
+TEST_F(ServerOriginalRace, OnlyOneDuplicateIsExecutedWhenOriginalIsCancelledBetweenThem) {
+  client.sendRequest(originalNumber, FakeBalancer::keyedRequestFields(requestA));
+  waitUntilAllMessagesAreRead();
+  client.send(
+      FakeBalancer::encodeRequest(duplicateNumbers[0], FakeBalancer::keyedRequestFields(requestB), "body") +
+      FakeBalancer::encodeCancellation(originalNumber) +
+      FakeBalancer::encodeRequest(duplicateNumbers[1], FakeBalancer::keyedRequestFields(requestC), "body"));
+  waitUntilAllMessagesAreRead();
+  freeOneCore();
+  expectOneExecutionForEitherDuplicate();
+}
+
 TEST_F(ServerOriginalRace, OnlyOneDuplicateIsExecutedWhenOriginalIsShed) {
   auto fields = FakeBalancer::keyedRequestFields(requestA);
   fields["budget"] = "250";
--- a/tests/support/fake_peers.cpp
+++ b/tests/support/fake_peers.cpp
@@ -25,7 +25,7 @@
     const auto line = connection.receive(codec::jsonLines::readLine);
     if (!line) return noCommand;
     if (line->object["msg"] != "sample") return line->object;
-    send({{"msg", "sampled"}, {"cookie", line->object["cookie"]}, {"stats", {0.5, 1, 0.1, 3}}});
+    send({{"msg", "sampled"}, {"cookie", line->object["cookie"]}, {"stats", gauges}});
   }
   return noCommand;
 }
--- a/tests/support/fake_peers.h
+++ b/tests/support/fake_peers.h
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "support/test_connection.h"
 
@@ -19,6 +20,8 @@
   Poco::Net::ServerSocket socket = listenOnAnyPort();
   TestConnection connection;
   std::uint64_t lastNotificationNumber = 0;
+  /// The gauges with which nextCommand() answers, in the order of exampleSettings().
+  std::vector<double> gauges = {0.5, 1, 0.1, 3};
 
   /// Accepts a connection and sends a handshake with the start state `startState`. Returns the number of the
   /// last notification that the server has read, as stated in its subscription, or 99 if none arrives.
