Never deliver a downstream reply twice, since the engine takes it for the next one

Cause: after a reconnect the server sent unconfirmed commands again. "deliver" names no call. The answer to the catch-up request proves that the execution had not requested its next call when the engine answered, not when the engine reads the repeated reply.

ServerReplyDelivery.IsNotRepeatedWhenConnectionBreaksBeforeTheNextCall forces the order and fails if the reply is repeated as before.

Fix: a reply that was sent is never sent again. The policy gets ReplyDeliveryUncertain and skips the call where the settings allow it (a skip names its call, so it can't hit another one), or gives the request up if its execution reports nothing in twice the expected time, at least 250 ms. A reply that was never sent is still sent. The log line after a reconnect tells the three kinds of commands apart.

--- a/src/decision/actions.h
+++ b/src/decision/actions.h
@@ -40,7 +40,8 @@
   Duration timeout{};
 };
 
-/// Lets an execution continue without its downstream call.
+/// Lets an execution continue without its downstream call. It may also answer `ReplyDeliveryUncertain`; it
+/// then has no effect on an execution that received the reply.
 struct SkipDownstreamCall {
   RequestId id{};  ///< The request whose execution waits for the call.
 };
--- a/src/decision/admission_controller.cpp
+++ b/src/decision/admission_controller.cpp
@@ -33,6 +33,11 @@
 constexpr int maxCallFailures = 2;
 /// To check whether a call completes in time, it is assumed to take this many times its expected duration.
 constexpr double callTimeMargin = 1.5;
+/// An execution whose reply may be lost is given up after this many times the expected time of a whole
+/// execution, of which only the part after the call remains.
+constexpr double uncertainReplyPatience = 2;
+/// It is not given up earlier than this, since the engine's notifications may be delayed after a reconnect.
+constexpr Duration minUncertainReplyPatience = 250ms;
 
 }  // namespace
 
@@ -116,6 +121,7 @@
 /// Queues the request of a cancelled execution again if it may be repeated; otherwise sheds or fails it.
 void AdmissionController::requeueCancelled(RequestRecord& request) {
   requests_.requeue(request, now_);
+  uncertainReplies_.remove(request.arrival.id);
   const double queuedKb = request.arrival.queuedMemoryKb;
   memory_.release(memory_.executionKb(queuedKb) - queuedKb);
   if (isIdempotent(request)) {
@@ -128,6 +134,7 @@
 void AdmissionController::onEvent(const DownstreamCallRequested& event) {
   RequestRecord* request = requests_.find(event.id);
   if (!request || request->stage != RequestStage::executing) return;
+  uncertainReplies_.remove(event.id);
   requests_.moveTo(*request, RequestStage::awaitingCall, now_);
   awaitingCall_.push_back(event.id);
 }
@@ -150,6 +157,16 @@
   }
 }
 
+void AdmissionController::onEvent(const ReplyDeliveryUncertain& event) {
+  const RequestRecord* request = requests_.find(event.id);
+  if (!request || request->stage != RequestStage::executing) return;
+  const bool canSkip = policyOf(*request).degradedWeight > 0;
+  const Duration patience =
+      std::max(minUncertainReplyPatience,
+               fromSeconds(uncertainReplyPatience * serviceTimes_.executionSeconds(request->arrival)));
+  uncertainReplies_.add(event.id, canSkip ? now_ : now_ + patience);
+}
+
 void AdmissionController::onEvent(const ClientDisconnected& event) {
   if (RequestRecord* request = requests_.find(event.id)) closeRequest(*request);
 }
@@ -203,6 +220,7 @@
   startExecutions(ceiling, callsWait);
   const double queueWaitSeconds = trimQueue(tolerableSeconds, callsWait);
   processAwaitedCalls(callsWait);
+  resolveUncertainReplies();
   shedOrFailOverdue();
 
   overload_.update(elapsed, queueWaitSeconds + readDelays_.excessSeconds(), tolerableSeconds);
@@ -333,6 +351,20 @@
   emit(CallDownstream{.id = request.arrival.id, .timeout = std::max(timeout, minCallTimeout)});
 }
 
+/// Skips the call of executions that may not have received their reply, if a response without it earns
+/// weight: this has no effect on an execution that received the reply. Gives up others that have reported
+/// nothing for too long.
+void AdmissionController::resolveUncertainReplies() {
+  for (const RequestId id : uncertainReplies_.takeOverdue(now_)) {
+    RequestRecord* request = requests_.find(id);
+    if (!request || !request->isResponsePending) continue;
+    if (policyOf(*request).degradedWeight > 0)
+      emit(SkipDownstreamCall{id});
+    else
+      shedOrFail(*request, ShedCause::replyLost);
+  }
+}
+
 /// Sheds or fails requests shortly before their deadline or the stop of the server, whether executing or not,
 /// and requests whose execution should be cancelled.
 void AdmissionController::shedOrFailOverdue() {
@@ -454,7 +486,7 @@
   if (isIdempotent(request) || (!request.wasEverStarted && !request.isDuplicate)) {
     emit(ShedRequest{.id = id,
                      .retryAfter = isLocal ? retryAfter() : Duration{},
-                     .discourageRetry = !isLocal || shouldDiscourageRetry()});
+                     .discourageRetry = cause == ShedCause::unservableAnywhere || shouldDiscourageRetry()});
   } else {
     emit(FailRequest{id});
   }
@@ -474,6 +506,7 @@
 
 void AdmissionController::remove(const RequestRecord& request) {
   const double queuedKb = request.arrival.queuedMemoryKb;
+  uncertainReplies_.remove(request.arrival.id);
   memory_.release(isStarted(request.stage) ? memory_.executionKb(queuedKb) : queuedKb);
   requests_.remove(request.arrival.id);
 }
--- a/src/decision/admission_controller.h
+++ b/src/decision/admission_controller.h
@@ -22,6 +22,7 @@
 #include "decision/request_record.h"
 #include "decision/request_timing.h"
 #include "decision/service_time_estimator.h"
+#include "decision/uncertain_replies.h"
 
 namespace rainhook {
 
@@ -43,6 +44,8 @@
     localLoad,
     /// A slow dependency, or a target that has passed: another server would not succeed either.
     unservableAnywhere,
+    /// A reply that the engine probably lost. It says nothing about the load, and another server may succeed.
+    replyLost,
   };
 
   void onStart();
@@ -52,6 +55,7 @@
   void onEvent(const ExecutionEnded& event);
   void onEvent(const DownstreamCallRequested& event);
   void onEvent(const DownstreamCallEnded& event);
+  void onEvent(const ReplyDeliveryUncertain& event);
   void onEvent(const ClientDisconnected& event);
   void onEvent(const ShutdownNotice& event);
   void onEvent(const TimerFired& event);
@@ -70,6 +74,7 @@
   void processAwaitedCalls(bool callsWait);
   void processAwaitedCall(RequestRecord& request, bool callsWait);
   void startDownstreamCall(RequestRecord& request, bool shouldRetryOutlier);
+  void resolveUncertainReplies();
   void shedOrFailOverdue();
   void publishLoadSignal();
 
@@ -116,6 +121,8 @@
   std::vector<RequestId> arrivals_;
   /// Requests whose downstream call has not been made yet, in the order in which they requested it.
   std::vector<RequestId> awaitingCall_;
+  /// Executions that may wait forever for a reply that was sent.
+  UncertainReplies uncertainReplies_;
 
   std::vector<Action> actions_;
   Duration now_{};
--- a/src/decision/events.h
+++ b/src/decision/events.h
@@ -62,6 +62,13 @@
   Duration duration{};  ///< How long the call was open.
 };
 
+/// The connection to the engine was lost after the reply to a downstream call had been sent and before the
+/// engine confirmed it. The host does not send the reply again, because an execution that received it may
+/// wait for its next call by now.
+struct ReplyDeliveryUncertain {
+  RequestId id{};  ///< The request in execution.
+};
+
 /// The client of a request has disconnected, so the request needs no response any more.
 struct ClientDisconnected {
   RequestId id{};  ///< The request whose client has disconnected.
@@ -101,7 +108,7 @@
 
 /// Any event that a host reports.
 using Event = std::variant<RequestArrived, ExecutionEnded, DownstreamCallRequested, DownstreamCallEnded,
-                           ClientDisconnected, ShutdownNotice, TimerFired, DownstreamQuotaChanged,
-                           ExecutionEngineStarted>;
+                           ReplyDeliveryUncertain, ClientDisconnected, ShutdownNotice, TimerFired,
+                           DownstreamQuotaChanged, ExecutionEngineStarted>;
 
 }  // namespace rainhook
--- a/src/server/engine_command_dispatcher.cpp
+++ b/src/server/engine_command_dispatcher.cpp
@@ -34,13 +34,22 @@
   return unconfirmed;
 }
 
-bool EngineCommandDispatcher::resend(InFlightRequest& request) {
-  const HandlerPolicy& handler =
-      deployment_.handlerPolicies[static_cast<std::size_t>(request.incoming.handler)];
-  const bool isRepeatable = request.lastCommand != EngineCommand::startExecution ||
-                            handler.idempotency == Idempotency::idempotent || !request.wasCommandSent;
-  if (isRepeatable) send(request, request.lastCommand);
-  return isRepeatable;
+CommandRecovery EngineCommandDispatcher::recover(InFlightRequest& request) {
+  const EngineCommand command = request.lastCommand;
+  if (request.wasCommandSent && command == EngineCommand::deliverReply) {
+    request.lastCommand = EngineCommand::none;
+    request.isReplyUncertain = true;
+    return CommandRecovery::replyUncertain;
+  }
+  if (request.wasCommandSent && command == EngineCommand::startExecution && !isIdempotent(request))
+    return CommandRecovery::executionUncertain;
+  send(request, command);
+  return CommandRecovery::sentAgain;
+}
+
+bool EngineCommandDispatcher::isIdempotent(const InFlightRequest& request) const {
+  const auto handler = static_cast<std::size_t>(request.incoming.handler);
+  return deployment_.handlerPolicies[handler].idempotency == Idempotency::idempotent;
 }
 
 }  // namespace rainhook::server
--- a/src/server/engine_command_dispatcher.h
+++ b/src/server/engine_command_dispatcher.h
@@ -10,6 +10,13 @@
 
 namespace rainhook::server {
 
+/// What became of a command that the engine may not have read.
+enum class CommandRecovery {
+  sentAgain,           ///< It was sent again.
+  executionUncertain,  ///< Not sent again: an execution that must not run twice may have started.
+  replyUncertain       ///< Not sent again: the execution may have received this downstream reply.
+};
+
 /// Sends commands to the engine and records the last command of each request, so that it can be sent again
 /// after a reconnect. Must be used on the event-loop thread only.
 class EngineCommandDispatcher {
@@ -25,11 +32,13 @@
   /// was sent on a connection that has been lost and no later message shows that the engine read it.
   std::vector<RequestId> findUnconfirmed(const RequestTable& requests) const;
 
-  /// Sends an unconfirmed command again. Returns false without sending anything if the command starts an
-  /// execution that must not run twice and that may have started already.
-  [[nodiscard]] bool resend(InFlightRequest& request);
+  /// Sends an unconfirmed command again if that is safe even if the engine has read it: the start of an
+  /// idempotent execution, and the command to continue without a reply, which names its call. A reply names
+  /// no call, so an execution that has received it would take it for the reply to its next call.
+  [[nodiscard]] CommandRecovery recover(InFlightRequest& request);
 
  private:
+  bool isIdempotent(const InFlightRequest& request) const;
   bool transmit(const InFlightRequest& request, EngineCommand command);
 
   peers::ExecutionEngineClient& engine_;
--- a/src/server/request_server.cpp
+++ b/src/server/request_server.cpp
@@ -215,17 +215,33 @@
 
 // After a reconnect, sends the commands again that the engine may not have read. An execution that must not
 // run twice and may have started is failed instead; for its client, this failure means that it may have run.
+// The policy decides about an execution that may not have received a downstream reply.
 void RequestServer::onNotificationsCaughtUp() {
-  const std::vector<RequestId> unconfirmed = engineCommands_.findUnconfirmed(requests_);
-  for (const RequestId id : unconfirmed) {
+  int sentAgain = 0;
+  int failed = 0;
+  int uncertainReplies = 0;
+  for (const RequestId id : engineCommands_.findUnconfirmed(requests_)) {
     InFlightRequest& request = *requests_.find(id);
-    if (!engineCommands_.resend(request)) failExecution(id, request);
+    switch (engineCommands_.recover(request)) {
+      case CommandRecovery::sentAgain:
+        ++sentAgain;
+        break;
+      case CommandRecovery::executionUncertain:
+        ++failed;
+        failExecution(id, request);
+        break;
+      case CommandRecovery::replyUncertain:
+        ++uncertainReplies;
+        addEvent(ReplyDeliveryUncertain{id});
+        break;
+    }
   }
-  if (!unconfirmed.empty())
-    log_.message(logging::LogCategory::engine,
-                 "engine connection restored: {} requests had commands that the engine may not have read; "
-                 "their commands were sent again or the requests failed",
-                 unconfirmed.size());
+  if (sentAgain + failed + uncertainReplies > 0)
+    log_.message(
+        logging::LogCategory::engine,
+        "engine connection restored: of the commands that the engine may not have read, {} were sent "
+        "again, {} failed their requests, and {} downstream replies are not sent again",
+        sentAgain, failed, uncertainReplies);
 }
 
 void RequestServer::onExecutionEnded(const std::string& name, Outcome outcome, Duration duration,
@@ -242,6 +258,7 @@
   if (!request.hasOpenExecution()) return;
   request.state = RequestState::downstreamCallRequested;
   request.lastCommand = EngineCommand::none;
+  request.isReplyUncertain = false;
   request.callNotification = notification;
   request.downstreamPayload = std::move(body);
   addEvent(DownstreamCallRequested{*id});
@@ -303,6 +320,7 @@
   if (isCancelled && request.isResponsePending) {
     request.state = RequestState::queued;
     request.lastCommand = EngineCommand::none;
+    request.isReplyUncertain = false;
     return;
   }
   requests_.remove(id);
--- a/src/server/request_server_actions.cpp
+++ b/src/server/request_server_actions.cpp
@@ -1,4 +1,6 @@
 // The part of RequestServer that performs the actions of the admission policy.
+#include <utility>
+
 #include "server/request_server.h"
 
 namespace rainhook::server {
@@ -47,7 +49,9 @@
 
 void RequestServer::perform(const SkipDownstreamCall& action) {
   InFlightRequest* request = requests_.find(action.id);
-  if (request == nullptr || request->state != RequestState::downstreamCallRequested) return;
+  if (request == nullptr) return;
+  const bool isReplyUncertain = std::exchange(request->isReplyUncertain, false);
+  if (request->state != RequestState::downstreamCallRequested && !isReplyUncertain) return;
   request->state = RequestState::executing;
   engineCommands_.send(*request, EngineCommand::continueWithoutReply);
 }
--- a/src/server/request_table.h
+++ b/src/server/request_table.h
@@ -44,6 +44,8 @@
   EngineCommand lastCommand = EngineCommand::none;  ///< The command to send again after a reconnect, if any.
   TimePoint lastCommandAt{};                        ///< When the last command was sent or could not be sent.
   bool wasCommandSent = false;                      ///< False if there was no connection to the engine.
+  /// Whether the reply to its last downstream call may have been lost with a connection to the engine.
+  bool isReplyUncertain = false;
 
   std::optional<RequestId> duplicateOf;  ///< The original, if the request is a duplicate.
   std::string downstreamPayload;         ///< The body of the requested downstream call, later its reply.
--- a/tests/protocol_model.h
+++ b/tests/protocol_model.h
@@ -80,6 +80,7 @@
   std::uint32_t lastId = 0;
   int discouragedRetries = 0;
   int callsMade = 0;
+  int callsSkipped = 0;
 
   void open() {
     policy = makeAdmissionPolicy(settings);
@@ -278,6 +279,7 @@
     ++callsMade;
   }
   void apply(const SkipDownstreamCall& action) {
+    ++callsSkipped;
     ModelRequest& request = requests.at(action.id);
     if (policyOf(request).degradedWeight <= 0) reportViolation("skipped a downstream call that is required");
     if (request.state == RequestState::awaitingCall) request.state = RequestState::executing;
