Search the orders of breaks, replies and calls on the connection to the engine

An engine that follows its protocol loses commands with connections that break at random, with a fixed seed; each call must be continued with its own reply or without one, and no execution may wait forever.

--- a/tests/server_reply_delivery_test.cpp
+++ b/tests/server_reply_delivery_test.cpp
@@ -1,8 +1,10 @@
 // Tests of downstream replies whose delivery to the engine is uncertain because its connection broke. A reply
 // names no call, so the engine takes it for the reply to whichever call the execution waits for.
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <random>
 #include <string>
 
 #include "codec/json_lines.h"
@@ -155,5 +157,76 @@
   expectReply("second reply");
 }
 
+// An engine that follows its protocol over connections that break at random: a reply goes to whichever call
+// the execution waits for, and a skip only to the call that it names.
+class ServerReplyDeliveryOrder : public ServerReplyDelivery {
+ protected:
+  // Returns the name of the next request that is started. Skips of calls that were answered may precede it.
+  std::string nextStartedRequest() {
+    auto command = engine.nextCommand();
+    while (command["msg"] == "forgo") command = engine.nextCommand();
+    EXPECT_EQ(command["msg"], "launch") << command;
+    return command.value("call", "");
+  }
+
+  bool isOneIn(int count) { return std::uniform_int_distribution(1, count)(random) == 1; }
+
+  // Lets the execution request a downstream call and wait until the server lets it continue. The commands
+  // that are unread when the connection breaks are lost.
+  void makeCall(const std::string& request, int number) {
+    const std::string body = fmt::format("call {}", number);
+    const std::string reply = fmt::format("reply {}", number);
+    engine.requestDownstreamCall(request, body);
+    const std::uint64_t notification = engine.lastNotificationNumber;
+    acceptDownstreamCall(body);
+    const bool isConnected = !isOneIn(4);
+    if (!isConnected) engine.connection.closeWithReset();
+    downstream.send(httpResponse("200 OK", reply));
+    if (!isConnected) engine.acceptConnection();
+    while (!HasFailure()) {
+      if (isOneIn(3)) breakConnection();
+      const auto command = engine.nextCommand();
+      if (command["msg"] == "deliver") {
+        EXPECT_EQ(codec::jsonLines::fromBase64(command["blob"]), reply);
+        return;
+      }
+      ASSERT_EQ(command["msg"], "forgo") << command;
+      if (command["serial"] == notification) return;
+    }
+  }
+
+  // On a new connection, this is the request whose answer shows that no notification was missed.
+  void answerNextGaugeRequest() {
+    const auto request = engine.connection.receive(codec::jsonLines::readLine);
+    ASSERT_TRUE(request);
+    if (request->object["msg"] != "sample") return;  // a command for a call that has been answered
+    engine.send({{"msg", "sampled"}, {"cookie", request->object["cookie"]}, {"stats", engine.gauges}});
+  }
+
+  std::mt19937 random{20261204};
+};
+
+// Guards against orders of breaks, replies and calls in which a reply reaches the wrong call, or in which the
+// execution waits forever.
+TEST_F(ServerReplyDeliveryOrder, ContinuesEachCallWithItsReplyOrNoneWhenConnectionBreaksAtAnyTime) {
+  server.settings["domain"]["classSkipWorth"] = {0.5, 0.5};
+  start();
+  for (std::int32_t round = 1; round <= 20 && !HasFailure(); ++round) {
+    SCOPED_TRACE(fmt::format("round {}", round));
+    const std::string request = fmt::format("{:016x}", round);
+    client.sendRequest(round, FakeBalancer::requestFields(request));
+    EXPECT_EQ(nextStartedRequest(), request);
+    for (int call = 0; call < 3 && !HasFailure(); ++call) {
+      makeCall(request, call);
+      if (isOneIn(2)) breakConnection();
+      if (isOneIn(2)) answerNextGaugeRequest();
+    }
+    engine.endExecution(request);
+    const Response response = client.receiveResponse();
+    EXPECT_EQ(response.sequenceNumber, round);
+    EXPECT_EQ(response.kind, ResponseKind::completed);
+  }
+}
+
 }  // namespace
 }  // namespace rainhook
