--- a/src/server/request_server.h
+++ b/src/server/request_server.h
@@ -129,7 +129,7 @@
   void respond(InFlightRequest& request, Outcome outcome, const std::string& result);
   void endResponse(RequestId id, InFlightRequest& request);
 
-  // Duplicates and their originals.
+  // Duplicates and their originals, defined in request_server_duplicates.cpp.
   DeduplicationCache::Lookup findOriginalOrRegister(RequestId id, const peers::IncomingRequest& request);
   void releaseDuplicates(RequestId original);
   void readmitDuplicates();
