--- a/review/7/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x build/rainhook ] || { echo "cannot run: build/rainhook is missing"; exit 2; }
 export PYTHONDONTWRITEBYTECODE=1
-exec python3 review/7/case.py
+exec python3 review/9/case.py
