--- a/review/9/case.py
+++ b/review/9/case.py
@@ -2,6 +2,7 @@
 
 import os
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
@@ -78,6 +79,9 @@
         shutil.rmtree(temp, ignore_errors=True)
 
 
+# A signal to the script ends it with 2, and its folder is removed.
+for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+    signal.signal(number, lambda *_: sys.exit(2))
 try:
     status = main()
 except (OSError, subprocess.SubprocessError) as error:
--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -793,6 +793,9 @@
     rig_box = []
 
     async def body():
+        # A signal to the script ends the case, so that its processes and its folder don't stay.
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         rig = Rig(folder, seed)
         rig_box.append(rig)
         try:
@@ -808,6 +811,8 @@
         print("cannot run: %s" % error)
     except asyncio.TimeoutError:
         print("cannot run: the time is over")
+    except asyncio.CancelledError:
+        print("cannot run: ended by a signal")
     except Exception:
         traceback.print_exc()
     finally:
