State the store's floor in a segment, so that an erased key stays erased

Cause: the floor, below which records are discarded after entries aged out, was only in the manifest, and in memory until the next manifest was written. An erasure of a key that is not in the index writes no record, a compaction drops the records below the floor, and a recovery without a segment discards by it. Without the manifest the old records counted again.

Change: a record of kind 7 states the floor in a segment before an erasure relies on it, before a compaction removes a segment that had records below it or that stated it, and at a start if only the manifest has it. Recovery takes the highest of manifest and records.

--- a/src/store/batch_writer.cpp
+++ b/src/store/batch_writer.cpp
@@ -42,7 +42,10 @@
 DiskError BatchWriter::write(std::span<const WriteRequest> writes, UnixTime now) {
   const auto sweep = appendExpirySweep();
   const auto updates = appendWrites(writes, now);
-  if (updates.empty() && !sweep) return {};
+  const bool hasErasure =
+      std::any_of(writes.begin(), writes.end(), [](const WriteRequest& write) { return write.isErase(); });
+  const bool hasNewFloor = hasErasure && appendFloorIfUnrecorded();
+  if (updates.empty() && !sweep && !hasNewFloor) return {};
   if (const DiskError error = makeDurable()) return error;
   if (sweep) catalog_.addSweep(*sweep);
   publish(writes, updates, sweep);
@@ -62,6 +65,17 @@
   return sweep;
 }
 
+DiskError BatchWriter::writeFloor() { return appendFloorIfUnrecorded() ? makeDurable() : DiskError{}; }
+
+/// Appends the floor unless a segment states it. An erasure of a key that has aged out writes no record of
+/// its own, so the record of the floor is what makes this erasure durable.
+bool BatchWriter::appendFloorIfUnrecorded() {
+  const SequenceNumber floor = state_.index.floor();
+  if (floor <= catalog_.recordedFloor()) return false;
+  segment()->appendFloor(floor);
+  return true;
+}
+
 std::vector<BatchWriter::IndexUpdate> BatchWriter::appendWrites(std::span<const WriteRequest> writes,
                                                                 UnixTime now) {
   std::vector<IndexUpdate> updates;
--- a/src/store/batch_writer.h
+++ b/src/store/batch_writer.h
@@ -29,12 +29,19 @@
 
   /// An upper bound on the bytes that the writes occupy in the folder.
   static std::uint64_t maxBytesOf(std::span<const WriteRequest> writes);
+  /// An upper bound on the further bytes that a commit occupies in the folder: a new segment, an expiry sweep
+  /// and the floor.
+  static constexpr std::uint64_t maxOverheadBytes =
+      2 * fileHeaderBytes + recordBytes(0, 0) + hintEntryBytes(0) + floorRecordBytes;
   /// The number of leading writes that one sync covers: as many valid ones as fit into the segment, at most
   /// `maxCommitWrites`. The first write, which the caller has validated, is always included.
   std::size_t batchSize(std::span<const WriteRequest> writes) const;
   /// Makes the writes durable, then visible. On an error none of them takes effect. If the segment can no
   /// longer be trusted, this function seals it, and the catalog then has no open segment for commits.
   DiskError write(std::span<const WriteRequest> writes, UnixTime now);
+  /// Makes the index's floor durable unless a segment states it. The conditions and errors are those of
+  /// `write`.
+  DiskError writeFloor();
 
  private:
   /// A change that is applied to the index once the write is durable.
@@ -47,6 +54,7 @@
   };
 
   std::optional<ExpirySweep> appendExpirySweep();
+  bool appendFloorIfUnrecorded();
   std::vector<IndexUpdate> appendWrites(std::span<const WriteRequest> writes, UnixTime now);
   bool isErasureNeeded(std::string_view key, std::span<const WriteRequest> earlierWrites) const;
   IndexUpdate appendWrite(const WriteRequest& write, RecordKind kind);
--- a/src/store/compactor.cpp
+++ b/src/store/compactor.cpp
@@ -96,6 +96,7 @@
     const Record& record = step.record;
     if (record.kind != RecordKind::put && record.kind != RecordKind::erase) continue;
     job_->inputRecords.push_back({std::string(record.key), record.sequence});
+    job_->hasRecordsBelowFloor = job_->hasRecordsBelowFloor || record.sequence < state_.index.floor();
     const RecordLocation location{job_->input, static_cast<std::uint32_t>(step.offset),
                                   static_cast<std::uint32_t>(step.bytes)};
     if (!copyIfCurrent(record, location)) return false;
@@ -105,7 +106,7 @@
     if (SegmentWriter* output = catalog_.writer(SegmentRole::compaction)) output->startWriteback();
     return true;
   }
-  if (!copyLostRecords() || !flushOutput() || !syncOutput()) return false;
+  if (!copyLostRecords() || !recordFloor() || !flushOutput() || !syncOutput()) return false;
   job_->stage = Stage::removingFiles;
   return true;
 }
@@ -124,6 +125,19 @@
   return writeToOutput({RecordKind::erase, false, record.sequence, neverExpires, record.key, {}});
 }
 
+/// Writes the floor before the input is removed, if no other segment states it. The removal may drop the
+/// current record of a key below the floor while an older record of that key remains in another segment; it
+/// may also drop the record of the floor itself.
+bool Compactor::recordFloor() {
+  const SequenceNumber required =
+      job_->hasRecordsBelowFloor ? state_.index.floor() : catalog_.findSealed(job_->input)->recordedFloor;
+  if (required <= catalog_.recordedFloor(job_->input)) return true;
+  SegmentWriter* output = outputWithRoom(floorRecordBytes);
+  if (!output) return false;
+  output->appendFloor(state_.index.floor());
+  return true;
+}
+
 /// Writes erasures for lost records that still hide older records of their keys.
 bool Compactor::copyLostRecords() {
   for (const auto& [key, sequence] : catalog_.findSealed(job_->input)->lostRecords) {
@@ -149,14 +163,20 @@
   return status.isOk() || fail(status.message);
 }
 
-bool Compactor::writeToOutput(const Record& record) {
-  const std::uint64_t bytes =
-      recordBytes(record.key.size(), record.value.size()) + hintEntryBytes(record.key.size());
-  if (!ensureOutput(bytes)) return false;
+/// Returns the segment to which `addedBytes` may be appended, or null if the job has failed.
+SegmentWriter* Compactor::outputWithRoom(std::uint64_t addedBytes) {
+  if (!ensureOutput(addedBytes)) return nullptr;
   SegmentWriter* output = catalog_.writer(SegmentRole::compaction);
   const std::uint64_t unwrittenBytes = output->projectedBytes() - output->bytes() - output->hintBytes();
-  if (!policy_.canCopy(usage_.bytes(), unwrittenBytes + bytes))
-    return fail("the output does not fit under the disk_bytes limit");
+  if (policy_.canCopy(usage_.bytes(), unwrittenBytes + addedBytes)) return output;
+  fail("the output does not fit under the disk_bytes limit");
+  return nullptr;
+}
+
+bool Compactor::writeToOutput(const Record& record) {
+  SegmentWriter* output =
+      outputWithRoom(recordBytes(record.key.size(), record.value.size()) + hintEntryBytes(record.key.size()));
+  if (!output) return false;
   const RecordLocation location = output->append(record);
   job_->pendingCopies.push_back({{std::string(record.key), record.sequence}, location});
   return true;
--- a/src/store/compactor.h
+++ b/src/store/compactor.h
@@ -33,6 +33,7 @@
   std::optional<RecordScanner> scanner;    ///< Absent if the segment file is missing or was read to its end.
   Stage stage = Stage::copyingRecords;     ///< The current stage.
   std::vector<RecordId> inputRecords;      ///< All records of the input segment.
+  bool hasRecordsBelowFloor = false;       ///< Some of them were not copied, since they are below the floor.
   std::vector<PendingCopy> pendingCopies;  ///< Copies that are not written yet.
   std::size_t unindexedRecords = 0;        ///< The number of `inputRecords` already removed from the index.
 };
@@ -76,7 +77,9 @@
   bool copyStep(std::uint64_t budgetBytes);
   bool copyIfCurrent(const Record& record, const RecordLocation& location);
   bool copyLostRecords();
+  bool recordFloor();
   bool writeToOutput(const Record& record);
+  SegmentWriter* outputWithRoom(std::uint64_t addedBytes);
   bool ensureOutput(std::uint64_t addedBytes);
   bool flushOutput();
   bool syncOutput();
--- a/src/store/ids.h
+++ b/src/store/ids.h
@@ -29,5 +29,10 @@
 constexpr Id successor(Id id) {
   return Id{rawValue(id) + 1};
 }
+/// The previous identifier; `id` must not be 0.
+template <typename Id>
+constexpr Id predecessor(Id id) {
+  return Id{rawValue(id) - 1};
+}
 
 }  // namespace rainhook::store
--- a/src/store/log_structured_store.cpp
+++ b/src/store/log_structured_store.cpp
@@ -64,9 +64,18 @@
   isOpen_ = true;
   if (const DiskError error = catalog_.writeManifest())
     log(describeError(manifestFileName, error) + "; writes fail until the manifest can be written");
+  if (catalog_.recordedFloor() < state_.index.floor()) recordFloor();
   return {};
 }
 
+/// Writes a record of the floor, which only the manifest states. If this fails, the next erasure writes it.
+void LogStructuredStore::recordFloor() {
+  if (!policy_.canWrite(usage_.bytes(), BatchWriter::maxOverheadBytes)) return;
+  if (const StoreStatus status = ensureActiveSegment(); !status.isOk()) return log(status.message);
+  if (const DiskError error = batchWriter_.writeFloor())
+    log("write of the floor: " + error.message() + "; the next erasure writes it");
+}
+
 std::vector<StoreStatus> LogStructuredStore::commit(std::span<const WriteRequest> writes, UnixTime now) {
   std::vector<StoreStatus> statuses(writes.size());
   for (std::size_t begin = 0; begin < writes.size();) {
@@ -88,8 +97,7 @@
 }
 
 StoreStatus LogStructuredStore::commitBatch(std::span<const WriteRequest> writes, UnixTime now) {
-  const std::uint64_t sweepAndHeaders = recordBytes(0, 0) + 2 * fileHeaderBytes;
-  if (!makeRoom(BatchWriter::maxBytesOf(writes) + sweepAndHeaders, now))
+  if (!makeRoom(BatchWriter::maxBytesOf(writes) + BatchWriter::maxOverheadBytes, now))
     return countUnsuccessfulWrites(
         writes.size(),
         {StoreErrorCode::storeFull,
--- a/src/store/log_structured_store.h
+++ b/src/store/log_structured_store.h
@@ -77,6 +77,7 @@
  private:
   StoreStatus commitBatch(std::span<const WriteRequest> writes, UnixTime now);
   StoreStatus countUnsuccessfulWrites(std::size_t writes, StoreStatus status);
+  void recordFloor();
   StoreStatus ensureActiveSegment();
   bool makeRoom(std::uint64_t bytes, UnixTime now);
   bool expireEntries(UnixTime now);
--- a/src/store/record_format.h
+++ b/src/store/record_format.h
@@ -53,6 +53,7 @@
   hintEnd = 4,      ///< The last entry of a hint file: the segment's length and the number of entries.
   lost = 5,         ///< In hint files only: the record existed but can no longer be read.
   manifest = 6,     ///< The only record of a manifest.
+  discard = 7,      ///< All records up to its sequence number are discarded; see KeyIndex::floor.
 };
 
 /// A record without its position; does not own its key and value.
@@ -78,6 +79,9 @@
   return recordBytes(keyBytes, hintLocationBytes);
 }
 
+/// Size of a record that states the floor, with its hint entry.
+inline constexpr std::size_t floorRecordBytes = recordBytes(0, 0) + hintEntryBytes(0);
+
 /// The file and offset of a record, which its checksum covers.
 struct RecordPosition {
   FileHeader file;           ///< The header of the file.
--- a/src/store/recovery.cpp
+++ b/src/store/recovery.cpp
@@ -19,6 +19,12 @@
          error == std::errc::not_enough_memory;
 }
 
+/// Whether a record of this kind states something about its key only. The hint entry of any other kind is as
+/// good as its record.
+bool concernsOneKey(RecordKind kind) {
+  return kind == RecordKind::put || kind == RecordKind::erase || kind == RecordKind::lost;
+}
+
 }  // namespace
 
 Recovery::Recovery(Disk& disk, const CompactionPolicy& policy, FolderUsage& usage, StoreState& state,
@@ -42,6 +48,7 @@
     if (auto status = recoverSegment(number, files); !status.isOk()) return status;
   }
   advanceSequencePast(highestSequence_);
+  applyRecordedFloor();
   applyLostRecords();
   reportDamage();
   state_.index.sortByAge();
@@ -67,6 +74,13 @@
   }
 }
 
+/// Discards the entries below the floor that the segments state. It may be higher than that of the manifest,
+/// which may also be missing.
+void Recovery::applyRecordedFloor() {
+  state_.index.sortByAge();
+  for (const auto& [number, segment] : contents_.sealed) state_.index.raiseFloor(segment.recordedFloor);
+}
+
 /// Records older than a lost segment must be discarded, because the segment may have erased or overwritten
 /// any of them.
 void Recovery::noteLostSegment(const Manifest::Segment& segment) {
@@ -118,8 +132,12 @@
 }
 
 void Recovery::recoverMissingSegment(SegmentNumber number, std::uint64_t bytes, const HintFile& hints) {
-  for (const HintEntry& entry : hints.entries)
-    if (entry.kind != RecordKind::expirySweep) addLostRecord(number, entry);
+  for (const HintEntry& entry : hints.entries) {
+    if (concernsOneKey(entry.kind))
+      addLostRecord(number, entry);
+    else
+      addEntry(number, entry);
+  }
   damage_[number].fileBytes = bytes;
   contents_.sealed[number].isDamaged = true;
   // Without its end entry, the hint file may describe only some of the records.
@@ -135,6 +153,9 @@
     case RecordKind::expirySweep:
       contents_.sweeps.add({entry.sequence, entry.expiry});
       return;
+    case RecordKind::discard:
+      sealed.recordedFloor = std::max(sealed.recordedFloor, successor(entry.sequence));
+      return;
     case RecordKind::lost:
       addLostRecord(number, entry);
       return;
@@ -193,7 +214,7 @@
     const bool isPresent =
         found != end && found->location.offset == hint.location.offset && found->sequence == hint.sequence;
     if (isPresent) continue;
-    if (hint.kind == RecordKind::expirySweep) {
+    if (!concernsOneKey(hint.kind)) {
       addEntry(number, hint);
       continue;
     }
--- a/src/store/recovery.h
+++ b/src/store/recovery.h
@@ -68,6 +68,7 @@
   void rewriteHints(SegmentNumber number, const std::vector<HintEntry>& entries, std::uint64_t segmentBytes);
   void addEntry(SegmentNumber number, const HintEntry& entry);
   void addLostRecord(SegmentNumber number, const HintEntry& entry);
+  void applyRecordedFloor();
   void applyLostRecords();
   void reportDamage();
   void reportSegmentDamage(SegmentNumber number, const Damage& damage);
--- a/src/store/segment_catalog.cpp
+++ b/src/store/segment_catalog.cpp
@@ -50,6 +50,7 @@
   sealed.hintBytes = slot->hintBytes();
   sealed.committedBytes = slot->committedBytes();
   sealed.lastSequence = slot->lastSequence();
+  sealed.recordedFloor = slot->recordedFloor();
   sealed.isUntrusted = trust == SegmentTrust::untrusted;
   contents_.sealed[slot->number()] = std::move(sealed);
   slot.reset();
@@ -85,6 +86,14 @@
   return out;
 }
 
+SequenceNumber SegmentCatalog::recordedFloor(std::optional<SegmentNumber> excluded) const {
+  SequenceNumber highest{};
+  for (const SegmentWriter* writer : activeWriters()) highest = std::max(highest, writer->recordedFloor());
+  for (const auto& [number, segment] : contents_.sealed)
+    if (number != excluded && !segment.isUntrusted) highest = std::max(highest, segment.recordedFloor);
+  return highest;
+}
+
 Manifest SegmentCatalog::manifest(ManifestScope scope) const {
   Manifest out;
   out.storeId = contents_.storeId;
@@ -118,17 +127,33 @@
   return disk_.syncDirectory();
 }
 
+/// The open or the first sealed segment that states the highest floor; none if no segment states a floor.
+std::optional<SegmentNumber> SegmentCatalog::segmentWithFloor() const {
+  const SequenceNumber floor = recordedFloor();
+  if (floor == SequenceNumber{}) return std::nullopt;
+  for (const SegmentWriter* writer : activeWriters())
+    if (writer->recordedFloor() == floor) return writer->number();
+  for (const auto& [number, segment] : contents_.sealed)
+    if (segment.recordedFloor == floor && !segment.isUntrusted) return number;
+  return std::nullopt;
+}
+
+// A compaction copies the live entries of a segment and, if no other segment states it, the floor.
 StoreOccupancy SegmentCatalog::occupancy() const {
+  const auto floorSegment = segmentWithFloor();
+  const auto liveBytesIn = [&](SegmentNumber number) {
+    return state_.index.liveBytesIn(number) + (number == floorSegment ? floorRecordBytes : 0);
+  };
   StoreOccupancy out;
   out.folderBytes = usage_.bytes();
   const std::lock_guard lock(state_.mutex);
   out.indexBytes = state_.index.memoryBytes();
   for (const auto& [number, segment] : contents_.sealed)
-    out.segments.push_back({number, segment.bytes + segment.hintBytes, state_.index.liveBytesIn(number), true,
+    out.segments.push_back({number, segment.bytes + segment.hintBytes, liveBytesIn(number), true,
                             segment.isUntrusted, segment.isDamaged});
   for (const SegmentWriter* writer : activeWriters())
     out.segments.push_back({writer->number(), writer->bytes() + writer->hintBytes(),
-                            state_.index.liveBytesIn(writer->number()), false, false, false});
+                            liveBytesIn(writer->number()), false, false, false});
   return out;
 }
 
--- a/src/store/segment_catalog.h
+++ b/src/store/segment_catalog.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,7 @@
   std::uint64_t hintBytes = 0;        ///< Size of the hint file.
   std::uint64_t committedBytes = 0;   ///< Records after this offset may belong to a failed write.
   SequenceNumber lastSequence{};      ///< The highest sequence number of its records.
+  SequenceNumber recordedFloor{};     ///< The highest floor that one of its records states.
   bool isUntrusted = false;           ///< A sync or a truncation of it failed.
   bool isDamaged = false;             ///< Some of its records can't be read.
   std::vector<RecordId> lostRecords;  ///< Its unreadable records that hide older records.
@@ -69,6 +71,9 @@
   SequenceNumber allocateSequence();
   /// Adds a sweep that is durable.
   void addSweep(ExpirySweep sweep) { contents_.sweeps.add(sweep); }
+  /// The highest floor that a trusted segment other than `excluded` states. Recovery finds it without the
+  /// manifest.
+  SequenceNumber recordedFloor(std::optional<SegmentNumber> excluded = std::nullopt) const;
 
   /// The segment that is being written for this role; null if there is none.
   SegmentWriter* writer(SegmentRole role) { return writerSlot(role).get(); }
@@ -107,6 +112,7 @@
     return role == SegmentRole::commits ? commitWriter_ : compactionWriter_;
   }
   std::vector<const SegmentWriter*> activeWriters() const;
+  std::optional<SegmentNumber> segmentWithFloor() const;
 
   Disk& disk_;
   FolderUsage& usage_;
--- a/src/store/segment_writer.cpp
+++ b/src/store/segment_writer.cpp
@@ -60,6 +60,11 @@
   return {header_.segment, static_cast<std::uint32_t>(offset), static_cast<std::uint32_t>(bytes)};
 }
 
+void SegmentWriter::appendFloor(SequenceNumber floor) {
+  append({RecordKind::discard, false, predecessor(floor), neverExpires, {}, {}});
+  pendingFloor_ = std::max(pendingFloor_, floor);
+}
+
 void SegmentWriter::appendHint(RecordKind kind, const Record& record, const HintLocation& location) {
   const std::string value = encodeHintLocation(location);
   const FileHeader hintHeader{FileKind::hint, header_.storeId, header_.segment};
@@ -88,6 +93,7 @@
   pendingRecords_.clear();
   pendingHints_.clear();
   pendingRecordCount_ = 0;
+  pendingFloor_ = {};
   writtenBytes_ = committedBytes_;
   if (file_->truncate(committedBytes_)) {
     isBroken_ = true;
@@ -98,6 +104,7 @@
 void SegmentWriter::commit() {
   const UsageUpdate update(*this);
   committedRecords_ += std::exchange(pendingRecordCount_, 0);
+  committedFloor_ = std::max(committedFloor_, std::exchange(pendingFloor_, {}));
   committedBytes_ = writtenBytes_;
   const std::string hints = std::exchange(pendingHints_, {});
   if (!hintFile_) return;
--- a/src/store/segment_writer.h
+++ b/src/store/segment_writer.h
@@ -30,6 +30,8 @@
 
   /// Adds a record to those that the next `flush` writes; returns the location that it will have.
   RecordLocation append(const Record& record);
+  /// Adds a record by which recovery discards all records below the floor, without the manifest.
+  void appendFloor(SequenceNumber floor);
   /// Writes the appended records. On an error, drops all uncommitted records and truncates the file to the
   /// committed size.
   DiskError flush();
@@ -56,6 +58,8 @@
   std::uint64_t projectedBytes() const;
   /// The highest sequence number of all appended records.
   SequenceNumber lastSequence() const { return lastSequence_; }
+  /// The highest floor that the committed records state; 0 if none does.
+  SequenceNumber recordedFloor() const { return committedFloor_; }
   /// Whether a failed write could not be truncated. Nothing more may be written to the segment then.
   bool isBroken() const { return isBroken_; }
 
@@ -79,6 +83,8 @@
   std::uint64_t committedRecords_ = 0;
   std::uint64_t pendingRecordCount_ = 0;
   SequenceNumber lastSequence_{};
+  SequenceNumber pendingFloor_{};    // the floor in the records that are not committed yet
+  SequenceNumber committedFloor_{};  // the floor in the committed records
   bool isBroken_ = false;
 };
 
