Bound the retained idempotency keys, so that new ones can't exhaust the memory

What callers saw: while one client sent keyed requests under ever new keys, the server's memory grew until it was killed.

Cause: the deduplication cache held each key twice, of any length that fits into a frame, and only the policy's account of the engine's memory limited the number of its entries.

Change: the cache identifies a key by a BLAKE2b digest of 128 bits (libsodium, already linked by the server's libraries) and has as many entries as fit into an eighth of the memory. With more, a request with a new key fails at once; duplicates of retained requests are answered, reads are not rejected.

--- a/src/peers/response_encoder.cpp
+++ b/src/peers/response_encoder.cpp
@@ -68,6 +68,8 @@
       return "too many reqs in hand";
     case FailureReason::duplicateName:
       return "its id is in hand already";
+    case FailureReason::tooManyKeys:
+      return "too many keys are retained";
     case FailureReason::conflictingPayload:
       return "its key came with another content";
     case FailureReason::executionFailed:
--- a/src/peers/response_encoder.h
+++ b/src/peers/response_encoder.h
@@ -24,6 +24,7 @@
 enum class FailureReason {
   tooManyInFlight,     ///< The number of requests in flight has reached the limit that the memory allows.
   duplicateName,       ///< A request with this name is already in flight.
+  tooManyKeys,         ///< As many idempotency keys are retained as the memory allows.
   conflictingPayload,  ///< The original of its idempotency key has another payload.
   executionFailed,     ///< The execution failed, or may have run although its end is not known.
   failedByPolicy,      ///< The admission policy decided that the request fails.
--- a/src/server/deduplication_cache.cpp
+++ b/src/server/deduplication_cache.cpp
@@ -1,21 +1,39 @@
 #include "server/deduplication_cache.h"
 
+#include <sodium/crypto_generichash.h>
 #include <xxhash.h>
 
 #include <algorithm>
 
 namespace rainhook::server {
+namespace {
+
+bool isSharedRead(const DeduplicationCache::Key& key) { return key.resourceKey != ResourceKey{}; }
+
+DeduplicationCache::Lookup rejected(peers::FailureReason reason) {
+  return {.original = std::nullopt, .rejection = reason};
+}
+
+}  // namespace
 
 std::optional<DeduplicationCache::Key> DeduplicationCache::keyOf(const peers::IncomingRequest& request,
                                                                  const std::vector<HandlerPolicy>& handlers) {
   const Idempotency idempotency = handlers[static_cast<std::size_t>(request.handler)].idempotency;
   if (idempotency == Idempotency::keyed && !request.idempotencyKey.empty())
-    return Key{request.handler, request.idempotencyKey, {}};
+    return Key{request.handler, digestOf(request.idempotencyKey), {}};
   if (idempotency == Idempotency::idempotent && request.resourceKey != ResourceKey{})
     return Key{request.handler, {}, request.resourceKey};
   return std::nullopt;
 }
 
+DeduplicationCache::KeyDigest DeduplicationCache::digestOf(std::string_view idempotencyKey) {
+  KeyDigest digest{};
+  crypto_generichash(digest.data(), digest.size(),
+                     reinterpret_cast<const unsigned char*>(idempotencyKey.data()), idempotencyKey.size(),
+                     nullptr, 0);
+  return digest;
+}
+
 DeduplicationCache::PayloadFingerprint DeduplicationCache::fingerprintOf(
     const peers::IncomingRequest& request) {
   if (request.idempotencyKey.empty()) return {};
@@ -35,19 +53,22 @@
   const auto it = entries_.find(key);
   if (it != entries_.end() && arrival.arrivedAt < it->second.retainedUntil) {
     const CachedResult& entry = it->second;
-    if (entry.fingerprint != fingerprint) return {.original = {}, .hasConflictingPayload = true};
-    const bool isSharedRead = key.idempotencyKey.empty();
-    if (!isSharedRead || isResultUsable(entry, arrival.readAt)) return {.original = entry.original};
+    if (entry.fingerprint != fingerprint) return rejected(peers::FailureReason::conflictingPayload);
+    if (!isSharedRead(key) || isResultUsable(entry, arrival.readAt)) return {.original = entry.original, .rejection = std::nullopt};
   }
+  const bool isNewKey = it == entries_.end() && !registeredInIteration_.contains(key);
+  if (isNewKey && isFull()) return isSharedRead(key) ? Lookup{} : rejected(peers::FailureReason::tooManyKeys);
   const auto [registered, isNew] =
       registeredInIteration_.try_emplace(key, RegisteredRequest{arrival.id, fingerprint});
   if (isNew) return {};
-  if (registered->second.fingerprint != fingerprint) return {.original = {}, .hasConflictingPayload = true};
-  return {.original = registered->second.id};
+  if (registered->second.fingerprint != fingerprint)
+    return rejected(peers::FailureReason::conflictingPayload);
+  return {.original = registered->second.id, .rejection = std::nullopt};
 }
 
 void DeduplicationCache::retain(const Key& key, const PayloadFingerprint& fingerprint, RequestId id,
                                 Time until) {
+  if (isSharedRead(key) && !entries_.contains(key) && entries_.size() >= limits_.maxKeys) return;
   Time earlierRetainedUntil{};
   if (const auto it = entries_.find(key); it != entries_.end()) {
     CachedResult& entry = it->second;
--- a/src/server/deduplication_cache.h
+++ b/src/server/deduplication_cache.h
@@ -3,6 +3,7 @@
 /// determines which results are retained and for how long.
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -10,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -23,8 +25,9 @@
 /// A shared read, which is a request to an idempotent handler that names a resource, is deduplicated by that
 /// resource.
 ///
-/// Bounds: the results occupy at most `Limits::maxResultBytes`. The policy bounds the number of entries: it
-/// accounts for the memory of each retained key and requests a `drop`. The number of requests in flight
+/// Bounds: the results occupy at most `Limits::maxResultBytes`. The cache contains at most `Limits::maxKeys`
+/// entries, apart from the keyed requests that are in flight when it becomes full, and the size of an entry
+/// without its result does not depend on the length of the idempotency key. The number of requests in flight
 /// bounds the requests that are registered during one event-loop iteration.
 ///
 /// Removal: `drop` and `expire` remove entries. A result is removed when its retention ends; its key is
@@ -33,11 +36,14 @@
 /// Must be used on the event-loop thread only.
 class DeduplicationCache {
  public:
+  /// A digest of an idempotency key (BLAKE2b, 128 bits), which clients cannot make collide.
+  using KeyDigest = std::array<unsigned char, 16>;
+
   /// Identifies a keyed request by its handler and idempotency key, and a shared read by its handler and
   /// resource.
   struct Key {
     HandlerId handler{};         ///< The handler; keys of different handlers never match.
-    std::string idempotencyKey;  ///< The idempotency key; empty for shared reads.
+    KeyDigest idempotencyKey{};  ///< The digest of the idempotency key; zero for shared reads.
     ResourceKey resourceKey{};   ///< The resource that is read; zero for keyed requests.
     /// Compares member by member.
     // NOLINTNEXTLINE(modernize-use-nullptr): false positive of clang-tidy 14 on defaulted comparisons
@@ -67,6 +73,7 @@
   /// The limits of the cache, fixed at its construction.
   struct Limits {
     std::size_t maxResultBytes = 0;  ///< Bytes of all results; a result that exceeds them is not cached.
+    std::size_t maxKeys = 0;         ///< Entries; with more, new keyed requests are rejected.
     Duration maxReadDelay{};         ///< The longest time from the arrival of a duplicate until it is read.
     Duration sharingDuration{};      ///< How long after its end the result of a read may serve other reads.
   };
@@ -80,8 +87,8 @@
 
   /// The result of a lookup by the key of an arrival.
   struct Lookup {
-    std::optional<RequestId> original;   ///< The request that the arrival duplicates, if any.
-    bool hasConflictingPayload = false;  ///< Whether the key is in use for a request with another payload.
+    std::optional<RequestId> original;              ///< The request that the arrival duplicates, if any.
+    std::optional<peers::FailureReason> rejection;  ///< Why the arrival must not be executed, if it must not.
   };
 
   /// A retained request and, once it has completed, its result.
@@ -103,12 +110,15 @@
   /// Returns the key under which a request is deduplicated, or none if its handler does not deduplicate it.
   static std::optional<Key> keyOf(const peers::IncomingRequest& request,
                                   const std::vector<HandlerPolicy>& handlers);
+  /// Returns the digest of an idempotency key.
+  static KeyDigest digestOf(std::string_view idempotencyKey);
   /// Returns the fingerprint of tenant and body, or zero if the request has no idempotency key.
   static PayloadFingerprint fingerprintOf(const peers::IncomingRequest& request);
 
   /// Finds the original of an arrival: a retained request, or a request that was read earlier in the same
   /// iteration. If there is none, registers the arrival as the original for the rest of the iteration. A
   /// shared read is a duplicate only of a read that is pending or that completed within the sharing duration.
+  /// If the cache is full, a keyed request with a new key is rejected, and a shared read is not registered.
   [[nodiscard]] Lookup findOriginalOrRegister(const Key& key, const PayloadFingerprint& fingerprint,
                                               const Arrival& arrival);
 
@@ -116,7 +126,8 @@
   /// need to be.
   void onIterationEnd() { registeredInIteration_.clear(); }
 
-  /// Retains the request under its key until the given time. If it is retained already, changes that time.
+  /// Retains the request under its key until the given time. If it is retained already, changes that time. A
+  /// shared read is not retained if the cache is full.
   void retain(const Key& key, const PayloadFingerprint& fingerprint, RequestId id, Time until);
 
   /// Removes a request that was never executed. Its key becomes free unless an earlier request with this key
@@ -147,6 +158,7 @@
   void removeFromExpiryQueue(const CachedResult& entry);
   void expireEntry(RequestId id, Time now);
   bool isResultUsable(const CachedResult& entry, Time now) const;
+  bool isFull() const { return entries_.size() + registeredInIteration_.size() >= limits_.maxKeys; }
 
   Limits limits_;
   std::size_t resultBytes_ = 0;
--- a/src/server/request_server.cpp
+++ b/src/server/request_server.cpp
@@ -42,6 +42,7 @@
       registration_(reactor, bufferPool_, log, endpoints_.name, jitterSeed(),
                     optionalAddress(endpoints_.registry)),
       deduplicationCache_({.maxResultBytes = budget_.maxResultBytes,
+                           .maxKeys = budget_.maxRetainedKeys,
                            .maxReadDelay = maxReadDelay(deployment_),
                            .sharingDuration = deployment_.resultSharing.sharingDuration}),
       engineCommands_(engineClient_, deployment_),
@@ -167,11 +168,10 @@
   }
   const RequestId id{++lastRequestId_};
   const DeduplicationCache::Lookup lookup = findOriginalOrRegister(id, incoming);
-  if (lookup.hasConflictingPayload) {
-    log_.message(logging::LogCategory::listener,
-                 "request {} rejected: its idempotency key is in use for a request with another payload",
-                 incoming.name);
-    return peers::FailureReason::conflictingPayload;
+  if (lookup.rejection) {
+    log_.message(logging::LogCategory::listener, "request {} rejected: {}", incoming.name,
+                 describe(*lookup.rejection));
+    return *lookup.rejection;
   }
   createPolicyIfAbsent(true, 0s);
   statistics_.onRequestRead(incoming.readDelay);
--- a/src/server/request_server_duplicates.cpp
+++ b/src/server/request_server_duplicates.cpp
@@ -54,12 +54,12 @@
 
   const DeduplicationCache::Lookup lookup = findOriginalOrRegister(id, incoming);
   request.duplicateOf = lookup.original;
-  if (!lookup.hasConflictingPayload) {
+  if (!lookup.rejection) {
     addArrivalEvent(id, request);
     return;
   }
   statistics_.onRequestFailed();
-  requestListener_.sendFailure(incoming.response, peers::FailureReason::conflictingPayload);
+  requestListener_.sendFailure(incoming.response, *lookup.rejection);
   requests_.remove(id);
 }
 
--- a/src/server/resource_budget.cpp
+++ b/src/server/resource_budget.cpp
@@ -9,6 +9,8 @@
 constexpr std::size_t minDownstreamCalls = 2;
 // A body of at most 2 KiB, a downstream reply of at most 4 kB, and the entries of the tables.
 constexpr std::size_t bytesPerRequestInFlight = 8 * 1024;
+// The entry in the deduplication cache with its indexes, and the policy's entry.
+constexpr std::size_t bytesPerRetainedKey = 512;
 constexpr int bytesPerMegabyteShift = 20;
 
 }  // namespace
@@ -22,6 +24,7 @@
   budget.maxRequestsInFlight = memoryBytes / 4 / bytesPerRequestInFlight;
   budget.maxOutputBytes = memoryBytes / 8;
   budget.maxResultBytes = memoryBytes / 8;
+  budget.maxRetainedKeys = memoryBytes / 8 / bytesPerRetainedKey;
   return budget;
 }
 
--- a/src/server/resource_budget.h
+++ b/src/server/resource_budget.h
@@ -13,6 +13,7 @@
   std::size_t maxRequestsInFlight = 0;   ///< Requests in flight; further requests are failed.
   std::size_t maxOutputBytes = 0;        ///< Bytes waiting to be sent, over all client connections.
   std::size_t maxResultBytes = 0;        ///< Bytes of results that are cached for duplicates.
+  std::size_t maxRetainedKeys = 0;       ///< Keys by which duplicates are found.
 };
 
 /// Divides the limits of the process.
@@ -21,8 +22,8 @@
 /// client has closed and the server has not yet closed. Some are reserved for the listener, the connections
 /// to other peers, signals and the log. The rest is for downstream calls.
 ///
-/// Memory: a quarter is for requests in flight, an eighth for output that waits to be sent, and an eighth for
-/// cached results.
+/// Memory: a quarter is for requests in flight, and an eighth each for output that waits to be sent, for
+/// cached results and for the keys by which duplicates are found.
 ResourceBudget divideResources(std::size_t maxDescriptors, int memoryMb);
 
 }  // namespace rainhook::server
--- a/tests/deduplication_cache_test.cpp
+++ b/tests/deduplication_cache_test.cpp
@@ -13,16 +13,18 @@
 using OriginalState = DeduplicationCache::OriginalState;
 
 constexpr std::size_t ampleBytes = 1 << 20;
+constexpr std::size_t ampleKeys = 1 << 20;
 constexpr DeduplicationCache::Time epoch{};
 
 DeduplicationCache::Key keyNamed(const std::string& idempotencyKey) {
-  return {HandlerId{1}, idempotencyKey, {}};
+  return {HandlerId{1}, DeduplicationCache::digestOf(idempotencyKey), {}};
 }
 
 // Guards against results beyond the capacity of the cache, and against capacity that stays occupied after a
 // removal.
 TEST(DeduplicationCache, FailsRequestWhenItsResultExceedsCapacity) {
-  DeduplicationCache cache({.maxResultBytes = 10, .maxReadDelay = 10s, .sharingDuration = 0s});
+  DeduplicationCache cache(
+      {.maxResultBytes = 10, .maxKeys = ampleKeys, .maxReadDelay = 10s, .sharingDuration = 0s});
   const std::string eightBytes = "eight by";
   cache.retain(keyNamed("a"), {}, RequestId{1}, epoch + 5s);
   cache.onOriginalEnded(RequestId{1}, OriginalState::completed, epoch, eightBytes);
@@ -38,7 +40,8 @@
 
 // Guards against entries that remain after their expiry, and against scans of entries that have not expired.
 TEST(DeduplicationCache, ScansEntryOnlyWhenItExpires) {
-  DeduplicationCache cache({.maxResultBytes = ampleBytes, .maxReadDelay = 10s, .sharingDuration = 0s});
+  DeduplicationCache cache(
+      {.maxResultBytes = ampleBytes, .maxKeys = ampleKeys, .maxReadDelay = 10s, .sharingDuration = 0s});
   std::size_t maxSize = 0;
   for (std::uint32_t i = 1; i <= 5000; ++i) {
     const auto now = epoch + 10ms * i;
@@ -61,7 +64,8 @@
 }
 
 TEST(DeduplicationCache, DropsResultWhenItArrivesAfterItsRetention) {
-  DeduplicationCache cache({.maxResultBytes = ampleBytes, .maxReadDelay = 10s, .sharingDuration = 0s});
+  DeduplicationCache cache(
+      {.maxResultBytes = ampleBytes, .maxKeys = ampleKeys, .maxReadDelay = 10s, .sharingDuration = 0s});
   cache.retain(keyNamed("a"), {}, RequestId{1}, epoch + 1s);
   cache.expire(epoch + 2s);
   cache.onOriginalEnded(RequestId{1}, OriginalState::completed, epoch + 3s, "late");
@@ -71,7 +75,8 @@
 // Guards against the execution of a late duplicate of a request that was executed, after a newer request with
 // the same key was retained and then dropped without an execution.
 TEST(DeduplicationCache, FindsOlderOriginalWhenNewerOneWasDropped) {
-  DeduplicationCache cache({.maxResultBytes = ampleBytes, .maxReadDelay = 10s, .sharingDuration = 0s});
+  DeduplicationCache cache(
+      {.maxResultBytes = ampleBytes, .maxKeys = ampleKeys, .maxReadDelay = 10s, .sharingDuration = 0s});
   const DeduplicationCache::Time start{1h};
   const auto key = keyNamed("k");
   cache.retain(key, {}, RequestId{1}, start + 1s);
@@ -91,5 +96,43 @@
   EXPECT_EQ(cache.size(), 0u);
 }
 
+// Guards against a cache that grows with every new key: a full cache rejects new keys, still recognizes the
+// keys that it has, and accepts new ones once keys have expired.
+TEST(DeduplicationCache, RejectsNewKeysOnlyWhileFull) {
+  DeduplicationCache cache(
+      {.maxResultBytes = ampleBytes, .maxKeys = 2, .maxReadDelay = 10s, .sharingDuration = 0s});
+  const auto arrive = [&](const std::string& key, RequestId id, DeduplicationCache::Time at) {
+    return cache.findOriginalOrRegister(keyNamed(key), {}, {.id = id, .arrivedAt = at, .readAt = at});
+  };
+  EXPECT_FALSE(arrive("a", RequestId{1}, epoch).rejection);
+  cache.retain(keyNamed("a"), {}, RequestId{1}, epoch + 5s);
+  cache.onIterationEnd();
+  EXPECT_FALSE(arrive("b", RequestId{2}, epoch).rejection);
+  EXPECT_EQ(arrive("c", RequestId{3}, epoch).rejection, peers::FailureReason::tooManyKeys);
+  EXPECT_EQ(arrive("a", RequestId{4}, epoch).original, RequestId{1});
+  EXPECT_EQ(arrive("b", RequestId{5}, epoch).original, RequestId{2});
+  cache.retain(keyNamed("b"), {}, RequestId{2}, epoch + 5s);
+  cache.onIterationEnd();
+  EXPECT_EQ(arrive("c", RequestId{6}, epoch + 5s).rejection, peers::FailureReason::tooManyKeys);
+
+  cache.expire(epoch + 16s);
+  EXPECT_FALSE(arrive("c", RequestId{7}, epoch + 16s).rejection);
+}
+
+// Guards against reads that are rejected or retained without limit because the cache is full: reads may be
+// executed again, so they need no entry.
+TEST(DeduplicationCache, NeitherRejectsNorRetainsSharedReadWhenFull) {
+  DeduplicationCache cache(
+      {.maxResultBytes = ampleBytes, .maxKeys = 1, .maxReadDelay = 10s, .sharingDuration = 0s});
+  cache.retain(keyNamed("a"), {}, RequestId{1}, epoch + 5s);
+  const DeduplicationCache::Key read{HandlerId{0}, {}, ResourceKey{7}};
+  const auto lookup =
+      cache.findOriginalOrRegister(read, {}, {.id = RequestId{2}, .arrivedAt = epoch, .readAt = epoch});
+  EXPECT_FALSE(lookup.rejection);
+  EXPECT_FALSE(lookup.original);
+  cache.retain(read, {}, RequestId{2}, epoch + 5s);
+  EXPECT_EQ(cache.size(), 1u);
+}
+
 }  // namespace
 }  // namespace rainhook::server
