Never execute a request again under the name of an executed one that must not be

What callers saw: a request that may not be repeated took effect twice. Its client left during the execution, and the request came again under the same name after that had ended.

Cause: only the names of requests in flight were known. A request of a single_shot handler, or of a keyed one without a key, has nothing but its name.

Change: ExecutedNames remembers such names until a copy of the request would be too old to be accepted; a request with such a name fails. It is bounded by a thirty-second of the memory.

--- a/src/peers/response_encoder.h
+++ b/src/peers/response_encoder.h
@@ -23,7 +23,7 @@
 /// The reason why a valid request ends without a result.
 enum class FailureReason {
   tooManyInFlight,     ///< The number of requests in flight has reached the limit that the memory allows.
-  duplicateName,       ///< A request with this name is already in flight.
+  duplicateName,       ///< A request with this name is in flight or was executed and may not be repeated.
   tooManyKeys,         ///< As many idempotency keys are retained as the memory allows.
   conflictingPayload,  ///< The original of its idempotency key has another payload.
   executionFailed,     ///< The execution failed, or may have run although its end is not known.
--- a/src/server/request_server.cpp
+++ b/src/server/request_server.cpp
@@ -45,6 +45,7 @@
                            .maxKeys = budget_.maxRetainedKeys,
                            .maxReadDelay = maxReadDelay(deployment_),
                            .sharingDuration = deployment_.resultSharing.sharingDuration}),
+      executedNames_(budget_.maxExecutedNames),
       engineCommands_(engineClient_, deployment_),
       policyTimers_(reactor, engineClient_, deployment_,
                     [this](const TimerFired& event) { onTimerFired(event); }),
@@ -143,6 +144,7 @@
   if (!policy_) return;
   if (pendingEvents_.empty() && !std::exchange(isPolicyNew_, false)) return;
   deduplicationCache_.expire(std::chrono::system_clock::now());
+  executedNames_.expire(std::chrono::system_clock::now());
   const std::vector<Event> events = std::exchange(pendingEvents_, {});
   const Duration now = net::Reactor::Clock::now() - policyEpoch_;
   for (const Action& action : policy_->onEvents(now, events))
@@ -166,6 +168,12 @@
                  "request {} rejected: a request with this name is already in flight", incoming.name);
     return peers::FailureReason::duplicateName;
   }
+  if (executedNames_.contains(incoming.name, incoming.readAt)) {
+    log_.message(logging::LogCategory::listener,
+                 "request {} rejected: a request with this name was executed and may not be repeated",
+                 incoming.name);
+    return peers::FailureReason::duplicateName;
+  }
   const RequestId id{++lastRequestId_};
   const DeduplicationCache::Lookup lookup = findOriginalOrRegister(id, incoming);
   if (lookup.rejection) {
@@ -312,7 +320,10 @@
   const bool isCancelled = outcome == Outcome::cancelled;
   if (!isCancelled) respond(request, outcome, result);
   addEvent(ExecutionEnded{id, outcome, duration});
-  if (outcome == Outcome::superseded) releaseDuplicates(id);
+  if (outcome == Outcome::superseded) {
+    request.wasStarted = false;
+    releaseDuplicates(id);
+  }
   if (!isCancelled || !wasResponsePending) {
     const bool isCompleted = outcome == Outcome::completed;
     endOriginal(id, isCompleted ? OriginalState::completed : OriginalState::failed, result);
@@ -323,7 +334,7 @@
     request.isReplyUncertain = false;
     return;
   }
-  requests_.remove(id);
+  remove(id, request);
 }
 
 void RequestServer::failExecution(RequestId id, InFlightRequest& request) {
@@ -352,6 +363,21 @@
   if (request.hasOpenExecution()) return;
   if (!request.wasStarted) releaseDuplicates(id);
   endOriginal(id, OriginalState::failed, {});
+  remove(id, request);
+}
+
+// Removes a request that has been answered and whose execution has ended. Remembers the name of one that was
+// executed, has no idempotency key and may not be repeated, until a copy of it would be too old to be
+// accepted.
+void RequestServer::remove(RequestId id, const InFlightRequest& request) {
+  const peers::IncomingRequest& incoming = request.incoming;
+  const HandlerPolicy& handler = deployment_.handlerPolicies[static_cast<std::size_t>(incoming.handler)];
+  const bool mayBeRepeated = handler.idempotency == Idempotency::idempotent ||
+                             DeduplicationCache::keyOf(incoming, deployment_.handlerPolicies).has_value();
+  if (request.wasStarted && !mayBeRepeated)
+    executedNames_.add(incoming.name, incoming.readAt +
+                                          incoming.timeRemaining.value_or(handler.clientTimeout) +
+                                          peers::expiredRequestGrace);
   requests_.remove(id);
 }
 
--- a/src/server/request_server.h
+++ b/src/server/request_server.h
@@ -23,6 +23,7 @@
 #include "server/deduplication_cache.h"
 #include "server/endpoint_registration.h"
 #include "server/engine_command_dispatcher.h"
+#include "server/executed_names.h"
 #include "server/graceful_shutdown.h"
 #include "server/policy_timers.h"
 #include "server/request_statistics.h"
@@ -128,6 +129,7 @@
   void failExecution(RequestId id, InFlightRequest& request);
   void respond(InFlightRequest& request, Outcome outcome, const std::string& result);
   void endResponse(RequestId id, InFlightRequest& request);
+  void remove(RequestId id, const InFlightRequest& request);
 
   // Duplicates and their originals, defined in request_server_duplicates.cpp.
   DeduplicationCache::Lookup findOriginalOrRegister(RequestId id, const peers::IncomingRequest& request);
@@ -155,6 +157,7 @@
 
   RequestTable requests_;
   DeduplicationCache deduplicationCache_;
+  ExecutedNames executedNames_;
   EngineCommandDispatcher engineCommands_;
   PolicyTimers policyTimers_;
   RequestStatistics statistics_;
--- a/src/server/resource_budget.cpp
+++ b/src/server/resource_budget.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t bytesPerRequestInFlight = 8 * 1024;
 // The entry in the deduplication cache with its indexes, and the policy's entry.
 constexpr std::size_t bytesPerRetainedKey = 512;
+// Two copies of the name, each in a container's node.
+constexpr std::size_t bytesPerExecutedName = 256;
 constexpr int bytesPerMegabyteShift = 20;
 
 }  // namespace
@@ -25,6 +27,7 @@
   budget.maxOutputBytes = memoryBytes / 8;
   budget.maxResultBytes = memoryBytes / 8;
   budget.maxRetainedKeys = memoryBytes / 8 / bytesPerRetainedKey;
+  budget.maxExecutedNames = memoryBytes / 32 / bytesPerExecutedName;
   return budget;
 }
 
--- a/src/server/resource_budget.h
+++ b/src/server/resource_budget.h
@@ -14,6 +14,7 @@
   std::size_t maxOutputBytes = 0;        ///< Bytes waiting to be sent, over all client connections.
   std::size_t maxResultBytes = 0;        ///< Bytes of results that are cached for duplicates.
   std::size_t maxRetainedKeys = 0;       ///< Keys by which duplicates are found.
+  std::size_t maxExecutedNames = 0;      ///< Names of executed requests that may not be repeated.
 };
 
 /// Divides the limits of the process.
@@ -23,7 +24,8 @@
 /// to other peers, signals and the log. The rest is for downstream calls.
 ///
 /// Memory: a quarter is for requests in flight, and an eighth each for output that waits to be sent, for
-/// cached results and for the keys by which duplicates are found.
+/// cached results and for the keys by which duplicates are found, and a thirty-second for the names of
+/// executed requests.
 ResourceBudget divideResources(std::size_t maxDescriptors, int memoryMb);
 
 }  // namespace rainhook::server
