Drop the unread input of a connection that its client has reset

What callers saw: a client closed its connection with much still unread, and its requests were executed afterwards.

Cause: an iteration reads at most 64 KB of a connection, and the operating system reports a reset only after the last byte that had arrived. What the first iteration read was started before the reset was seen.

Change: the pending error of an accepted connection is read before its input. After a reset the connection ends and the input is dropped. Connections that the server opened still deliver what arrived before.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -22,26 +22,28 @@
 }  // namespace
 
 Connection::Connection(Reactor& reactor, BufferPool& pool, const Poco::Net::StreamSocket& socket,
-                       ConnectionCallbacks callbacks)
+                       ConnectionCallbacks callbacks, InputAfterReset inputAfterReset)
     : reactor_(reactor),
       pool_(pool),
       socket_(socket),
       callbacks_(std::move(callbacks)),
+      inputAfterReset_(inputAfterReset),
       input_(nullptr, BufferPool::Releaser{&pool}),
       output_(pool) {}
 
 std::shared_ptr<Connection> Connection::fromAccepted(Reactor& reactor, BufferPool& pool,
                                                      const Poco::Net::StreamSocket& socket,
                                                      ConnectionCallbacks callbacks) {
-  std::shared_ptr<Connection> connection(new Connection(reactor, pool, socket, std::move(callbacks)));
+  std::shared_ptr<Connection> connection(
+      new Connection(reactor, pool, socket, std::move(callbacks), InputAfterReset::drop));
   connection->registerWithReactor(State::open);
   return connection;
 }
 
 std::shared_ptr<Connection> Connection::connectTo(const Address& address, Reactor& reactor, BufferPool& pool,
                                                   ConnectionCallbacks callbacks) {
-  std::shared_ptr<Connection> connection(
-      new Connection(reactor, pool, Poco::Net::StreamSocket(), std::move(callbacks)));
+  std::shared_ptr<Connection> connection(new Connection(reactor, pool, Poco::Net::StreamSocket(),
+                                                        std::move(callbacks), InputAfterReset::deliver));
   try {
     connection->socket_.connectNB(address);
     connection->registerWithReactor(State::connecting);
@@ -164,7 +166,17 @@
   return BufferPool::bufferSize - inputEnd_;
 }
 
+/// The operating system keeps the bytes that arrived before a reset, and reports the reset only after the
+/// last of them has been read, which may take several iterations.
+bool Connection::closeIfReset() {
+  const int error = socket_.impl()->socketError();
+  if (error == 0) return false;
+  closeWith(CloseReason::connectionLost, std::system_category().message(error));
+  return true;
+}
+
 void Connection::receive() {
+  if (inputAfterReset_ == InputAfterReset::drop && closeIfReset()) return;
   for (int i = 0; i < maxReadsPerEvent && state_ == State::open && hasReadInterest_; ++i) {
     const std::size_t space = makeReceiveSpace();
     if (space == 0)
@@ -246,7 +258,7 @@
 void Connection::onError(const Poco::AutoPtr<Poco::Net::ErrorNotification>&) {
   const auto self = shared_from_this();
   if (state_ == State::closed) return;
-  // Reads the bytes that arrived before the connection was lost.
+  // Reads the bytes that arrived before the connection was lost, unless they are dropped.
   if (state_ == State::open && hasReadInterest_) return runInputStep([this] { receive(); });
   const auto reason = state_ == State::connecting ? CloseReason::unreachable : CloseReason::connectionLost;
   closeWith(reason, describeSocketError(socket_));
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -55,12 +55,14 @@
   /// A host address and a port.
   using Address = Poco::Net::SocketAddress;
 
-  /// Creates a connection from an accepted socket.
+  /// Creates a connection from an accepted socket. If the peer resets the connection, the input that has not
+  /// been read by then is dropped, since no response to it could reach the peer.
   /// @throws Poco::Exception if the operating system rejects the socket's setup; the socket is closed then.
   static std::shared_ptr<Connection> fromAccepted(Reactor& reactor, BufferPool& pool,
                                                   const Poco::Net::StreamSocket& socket,
                                                   ConnectionCallbacks callbacks);
-  /// Starts to connect. A failure is reported through `onClosed` as `unreachable`, never during this call.
+  /// Starts to connect. If the peer resets the connection, the input that arrived before is still delivered.
+  /// A failure to connect is reported through `onClosed` as `unreachable`, never during this call.
   static std::shared_ptr<Connection> connectTo(const Address& address, Reactor& reactor, BufferPool& pool,
                                                ConnectionCallbacks callbacks);
   ~Connection() { close(); }
@@ -89,14 +91,17 @@
 
  private:
   enum class State { connecting, open, closed };
+  /// What happens to unread input when the peer has reset the connection.
+  enum class InputAfterReset { drop, deliver };
 
   Connection(Reactor& reactor, BufferPool& pool, const Poco::Net::StreamSocket& socket,
-             ConnectionCallbacks callbacks);
+             ConnectionCallbacks callbacks, InputAfterReset inputAfterReset);
   void registerWithReactor(State state);
   void onReadable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
   void onWritable(const Poco::AutoPtr<Poco::Net::WritableNotification>&);
   void onError(const Poco::AutoPtr<Poco::Net::ErrorNotification>&);
   void receive();
+  bool closeIfReset();
   std::size_t makeReceiveSpace();
   void onEndOfInput();
   void deliverInput();
@@ -113,6 +118,7 @@
   BufferPool& pool_;
   Poco::Net::StreamSocket socket_;
   const ConnectionCallbacks callbacks_;
+  const InputAfterReset inputAfterReset_;
   State state_ = State::connecting;
   /// Leased only while a message is incomplete; its received bytes are in [`inputBegin_`, `inputEnd_`).
   BufferPool::Lease input_;
