State the floor also for expired writes and when a deleted key's last record goes

A put whose expiry has passed is an erasure, too; and a compaction that drops the last record of a deleted key relies on the floor if an older record of that key lies below it, although the dropped record is above it.

Formatting of two lines.

--- a/src/server/deduplication_cache.cpp
+++ b/src/server/deduplication_cache.cpp
@@ -54,7 +54,8 @@
   if (it != entries_.end() && arrival.arrivedAt < it->second.retainedUntil) {
     const CachedResult& entry = it->second;
     if (entry.fingerprint != fingerprint) return rejected(peers::FailureReason::conflictingPayload);
-    if (!isSharedRead(key) || isResultUsable(entry, arrival.readAt)) return {.original = entry.original, .rejection = std::nullopt};
+    if (!isSharedRead(key) || isResultUsable(entry, arrival.readAt))
+      return {.original = entry.original, .rejection = std::nullopt};
   }
   const bool isNewKey = it == entries_.end() && !registeredInIteration_.contains(key);
   if (isNewKey && isFull()) return isSharedRead(key) ? Lookup{} : rejected(peers::FailureReason::tooManyKeys);
--- a/src/store/batch_writer.cpp
+++ b/src/store/batch_writer.cpp
@@ -13,6 +13,9 @@
   return recordBytes(write.key.size(), write.value.size()) + hintEntryBytes(write.key.size());
 }
 
+/// Whether the write leaves its key without a value.
+bool isErasure(const WriteRequest& write, UnixTime now) { return write.isErase() || write.expiry <= now; }
+
 }  // namespace
 
 BatchWriter::BatchWriter(const StoreSettings& settings, const CompactionPolicy& policy,
@@ -42,8 +45,8 @@
 DiskError BatchWriter::write(std::span<const WriteRequest> writes, UnixTime now) {
   const auto sweep = appendExpirySweep();
   const auto updates = appendWrites(writes, now);
-  const bool hasErasure =
-      std::any_of(writes.begin(), writes.end(), [](const WriteRequest& write) { return write.isErase(); });
+  const bool hasErasure = std::any_of(writes.begin(), writes.end(),
+                                      [&](const WriteRequest& write) { return isErasure(write, now); });
   const bool hasNewFloor = hasErasure && appendFloorIfUnrecorded();
   if (updates.empty() && !sweep && !hasNewFloor) return {};
   if (const DiskError error = makeDurable()) return error;
@@ -81,8 +84,7 @@
   std::vector<IndexUpdate> updates;
   for (std::size_t i = 0; i < writes.size(); ++i) {
     const WriteRequest& write = writes[i];
-    const bool isErasure = write.isErase() || write.expiry <= now;
-    if (!isErasure)
+    if (!isErasure(write, now))
       updates.push_back(appendWrite(write, RecordKind::put));
     else if (isErasureNeeded(write.key, writes.first(i)))
       updates.push_back(appendWrite(write, RecordKind::erase));
--- a/src/store/compactor.cpp
+++ b/src/store/compactor.cpp
@@ -96,7 +96,7 @@
     const Record& record = step.record;
     if (record.kind != RecordKind::put && record.kind != RecordKind::erase) continue;
     job_->inputRecords.push_back({std::string(record.key), record.sequence});
-    job_->hasRecordsBelowFloor = job_->hasRecordsBelowFloor || record.sequence < state_.index.floor();
+    job_->reliesOnFloor = job_->reliesOnFloor || record.sequence < state_.index.floor();
     const RecordLocation location{job_->input, static_cast<std::uint32_t>(step.offset),
                                   static_cast<std::uint32_t>(step.bytes)};
     if (!copyIfCurrent(record, location)) return false;
@@ -118,19 +118,23 @@
     const IndexEntry* entry = state_.index.find(record.key);
     if (!entry || entry->sequence != record.sequence || entry->location != location) return true;
     isLive = entry->state == EntryState::live;
-    // The key is deleted and has no other record on disk, so its tombstone need not be copied.
-    if (!isLive && entry->recordCount <= 1) return true;
+    // The key is deleted and has no other record above the floor, so its tombstone need not be copied.
+    if (!isLive && entry->recordCount <= 1) {
+      job_->reliesOnFloor = true;
+      return true;
+    }
   }
   if (isLive) return writeToOutput(record);
   return writeToOutput({RecordKind::erase, false, record.sequence, neverExpires, record.key, {}});
 }
 
 /// Writes the floor before the input is removed, if no other segment states it. The removal may drop the
-/// current record of a key below the floor while an older record of that key remains in another segment; it
+/// current record of a key while an older record of that key, below the floor, remains in another segment; it
 /// may also drop the record of the floor itself.
 bool Compactor::recordFloor() {
-  const SequenceNumber required =
-      job_->hasRecordsBelowFloor ? state_.index.floor() : catalog_.findSealed(job_->input)->recordedFloor;
+  const SealedSegment& input = *catalog_.findSealed(job_->input);
+  const bool reliesOnFloor = job_->reliesOnFloor || input.isDamaged;
+  const SequenceNumber required = reliesOnFloor ? state_.index.floor() : input.recordedFloor;
   if (required <= catalog_.recordedFloor(job_->input)) return true;
   SegmentWriter* output = outputWithRoom(floorRecordBytes);
   if (!output) return false;
--- a/src/store/compactor.h
+++ b/src/store/compactor.h
@@ -29,11 +29,11 @@
     RecordLocation location;  ///< The location that the copy will have.
   };
 
-  SegmentNumber input{};                   ///< The segment that is being compacted.
-  std::optional<RecordScanner> scanner;    ///< Absent if the segment file is missing or was read to its end.
-  Stage stage = Stage::copyingRecords;     ///< The current stage.
-  std::vector<RecordId> inputRecords;      ///< All records of the input segment.
-  bool hasRecordsBelowFloor = false;       ///< Some of them were not copied, since they are below the floor.
+  SegmentNumber input{};                 ///< The segment that is being compacted.
+  std::optional<RecordScanner> scanner;  ///< Absent if the segment file is missing or was read to its end.
+  Stage stage = Stage::copyingRecords;   ///< The current stage.
+  std::vector<RecordId> inputRecords;    ///< All records of the input segment.
+  bool reliesOnFloor = false;            ///< Without the floor, dropping a record could restore an older one.
   std::vector<PendingCopy> pendingCopies;  ///< Copies that are not written yet.
   std::size_t unindexedRecords = 0;        ///< The number of `inputRecords` already removed from the index.
 };
--- a/tests/store_age_out_test.cpp
+++ b/tests/store_age_out_test.cpp
@@ -40,11 +40,12 @@
 }
 
 /// Opens a store on the files and returns the value of the key.
-std::optional<std::string> valueIn(const std::map<std::string, std::string>& image, const std::string& key) {
+std::optional<std::string> valueIn(const std::map<std::string, std::string>& image, const std::string& key,
+                                   std::optional<UnixTime> now = std::nullopt) {
   SimulatedDisk disk = SimulatedDisk::withFiles(image);
   OperationHistory history(disk, 1, settingsWithOneSegment());
   EXPECT_TRUE(history.open());
-  return history.store().get(key, history.now).value;
+  return history.store().get(key, now.value_or(history.now)).value;
 }
 
 // Guards against an erased key that has its value again after the manifest was cut. The key had aged out, so
@@ -81,6 +82,42 @@
   EXPECT_EQ(history.store().get("key0", history.now).value, std::nullopt);
 }
 
+// Guards against the older value of a key that was overwritten by a value that has expired. A compaction
+// drops the expired record, which is above the floor, while the older record below the floor remains.
+TEST(StoreAgeOut, OverwrittenValueDoesNotReturnWhenItsSuccessorExpiredAndTheManifestIsMissing) {
+  SimulatedDisk disk;
+  OperationHistory history(disk, 1, settingsWithSmallIndex());
+  ASSERT_TRUE(history.open());
+  // The first segment is full with nine entries, of which the first one ages out.
+  for (std::uint64_t i = 0; i < 9; ++i) history.commit({WriteRequest::put(numbered("key", i), "old")});
+  history.runAllMaintenance();
+  ASSERT_FALSE(history.store().get("key0", history.now).value);
+  const UnixTime expiry = history.now + std::chrono::milliseconds(10);
+  history.commit({WriteRequest::put("key0", "new", expiry)});
+  // The second segment contains only the record of key0 and overwritten ones.
+  for (std::uint64_t i = 0; i < 12; ++i) history.commit({WriteRequest::put("other", numbered("v", i))});
+  history.now = expiry;
+  history.runAllMaintenance();
+  auto image = disk.image();
+  ASSERT_TRUE(image.contains(segmentFileName(SegmentNumber{1}))) << "the older record was compacted";
+  ASSERT_FALSE(image.contains(segmentFileName(SegmentNumber{2}))) << "the expired record was not compacted";
+  image.erase(manifestFileName);
+  EXPECT_EQ(valueIn(image, "key0", history.now), std::nullopt);
+}
+
+// Guards against an older value when a write whose expiry has passed, which is an erasure, has its key aged
+// out and the process is killed.
+TEST(StoreAgeOut, KeyStaysErasedByAnExpiredWriteWhenTheProcessIsKilled) {
+  SimulatedDisk disk;
+  OperationHistory history(disk, 1, settingsWithOneSegment());
+  ASSERT_TRUE(history.open());
+  ASSERT_NO_FATAL_FAILURE(fillUntilFirstEntryAgesOut(history));
+  history.commit({WriteRequest::put("key0", "expired", history.now)});
+  history.kill();
+  ASSERT_TRUE(history.open());
+  EXPECT_EQ(history.store().get("key0", history.now).value, std::nullopt);
+}
+
 // Guards against an older value after the manifest was lost: a compaction drops the current record of a key
 // that has aged out while an older record of it is still in another segment.
 TEST(StoreAgeOut, ReturnsNoOlderValueWhenTheManifestIsMissingAfterAnyHistory) {
