--- a/src/server/request_server.cpp
+++ b/src/server/request_server.cpp
@@ -28,6 +28,13 @@
   return longest;
 }
 
+// Describes for the log why a request with an idempotency key was rejected.
+std::string_view describeKeyRejection(peers::FailureReason reason) {
+  if (reason == peers::FailureReason::conflictingPayload)
+    return "its idempotency key is in use for a request with another payload";
+  return "its idempotency key is new, and as many keys are retained as the memory allows";
+}
+
 }  // namespace
 
 RequestServer::RequestServer(net::Reactor& reactor, logging::Log& log, ServerConfiguration configuration)
@@ -178,7 +185,7 @@
   const DeduplicationCache::Lookup lookup = findOriginalOrRegister(id, incoming);
   if (lookup.rejection) {
     log_.message(logging::LogCategory::listener, "request {} rejected: {}", incoming.name,
-                 describe(*lookup.rejection));
+                 describeKeyRejection(*lookup.rejection));
     return *lookup.rejection;
   }
   createPolicyIfAbsent(true, 0s);
